--- /dev/null
+++ b/applier/state.go
@@ -0,0 +1,85 @@
+// Package applier is the state machine of the replicated log: configuration, members, delegations, authorities and the
+// tables of slot owners.
+package applier
+
+import (
+	"time"
+
+	"bramleyline.example/bramleyline/fencer"
+	"bramleyline.example/bramleyline/keyer"
+)
+
+// State is what the log's commands have made of the empty state up to Index. The zero value is the empty state.
+//
+// A State that was published is immutable; Apply works on a copy that shares unchanged parts.
+type State struct {
+	Index uint64
+	// Config is the configuration in force; History has the accepted ones, the newest last.
+	Config  StoredConfig
+	History []StoredConfig
+
+	Voters   []string
+	Learners []string
+
+	Hosts       map[string]Host
+	DataCentres map[string]DataCentre
+	// TargetsOut has the targets that operators have taken out.
+	TargetsOut map[string]ServiceChange
+	Slots      map[string]*SlotTable
+	// Answered has the results of recent commands by request ID.
+	Answered map[string]Result
+}
+
+// StoredConfig is an accepted configuration as text.
+type StoredConfig struct {
+	Version  uint64
+	Digest   string
+	Operator string
+	At       time.Time
+	Base     string
+	Overlays map[string]string
+}
+
+// DataCentre is the state of one data centre.
+type DataCentre struct {
+	Name string
+	// Out says that operators have taken the data centre out; Changed says who and when.
+	Out     bool
+	Changed ServiceChange
+	// Authority is the host named as authority, by incarnation, and AuthorityIndex the log index of that command.
+	Authority            string
+	AuthorityIncarnation uint64
+	AuthorityIndex       uint64
+	// InSync maps each host that holds the authority's current table to its incarnation.
+	InSync map[string]uint64
+}
+
+// ServiceChange says who took something out of service or restored it, and when.
+type ServiceChange struct {
+	Operator string
+	At       time.Time
+}
+
+// SlotTable has one entry for each slot of a keyed service.
+type SlotTable struct {
+	Entries []SlotEntry
+	// HotKeys has the entries of hot keys.
+	HotKeys map[string]SlotEntry
+}
+
+// SlotEntry is the assignment of one slot.
+type SlotEntry struct {
+	DataCentre string
+	// DelegatedAt is the log index of the delegation.
+	DelegatedAt uint64
+	Target      string
+	Epoch       fencer.Epoch
+}
+
+// Entry returns the entry of a slot.
+func (t *SlotTable) Entry(slot keyer.Slot) (SlotEntry, bool) {
+	if t == nil || int(slot) >= len(t.Entries) {
+		return SlotEntry{}, false
+	}
+	return t.Entries[slot], true
+}
--- /dev/null
+++ b/leaser/granter.go
@@ -0,0 +1,37 @@
+package leaser
+
+import "time"
+
+// Granter is the side of a lease that gave it. The zero value gave nothing.
+type Granter struct {
+	// Margin is added to each lease for clock drift. Zero means DefaultMargin of the lease.
+	Margin time.Duration
+
+	until time.Time
+}
+
+// Granted records a lease of length ttl whose answer was sent at answered.
+func (g *Granter) Granted(answered time.Time, ttl time.Duration) {
+	margin := g.Margin
+	if margin == 0 {
+		margin = DefaultMargin(ttl)
+	}
+	if until := answered.Add(ttl + margin); until.After(g.until) {
+		g.until = until
+	}
+}
+
+// Released records that the holder itself gave the lease up.
+func (g *Granter) Released() {
+	g.until = time.Time{}
+}
+
+// Lapsed reports whether the holder can no longer hold the lease at now.
+func (g *Granter) Lapsed(now time.Time) bool {
+	return !now.Before(g.until)
+}
+
+// Until returns the time from which Lapsed is true.
+func (g *Granter) Until() time.Time {
+	return g.until
+}
--- /dev/null
+++ b/leaser/shared.go
@@ -0,0 +1,41 @@
+package leaser
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Shared is a Holder that one goroutine renews and many read. The zero value holds nothing.
+type Shared struct {
+	until atomic.Pointer[time.Time]
+}
+
+// Renewed records a lease of length ttl that was asked for at asked. Only one goroutine may call it.
+func (s *Shared) Renewed(asked time.Time, ttl time.Duration) {
+	until := asked.Add(ttl)
+	if old := s.until.Load(); old == nil || until.After(*old) {
+		s.until.Store(&until)
+	}
+}
+
+// Drop gives the lease up at once.
+func (s *Shared) Drop() {
+	s.until.Store(nil)
+}
+
+// Valid reports whether the lease is held at now. A nil Shared is never valid.
+func (s *Shared) Valid(now time.Time) bool {
+	return s.Remaining(now) > 0
+}
+
+// Remaining returns how long the lease is still held, at least zero.
+func (s *Shared) Remaining(now time.Time) time.Duration {
+	if s == nil {
+		return 0
+	}
+	until := s.until.Load()
+	if until == nil {
+		return 0
+	}
+	return max(0, until.Sub(now))
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,88 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+type echo struct {
+	release chan struct{}
+}
+
+func (e *echo) Echo(args string, reply *string) error {
+	*reply = args
+	return nil
+}
+
+func (e *echo) Hang(_ string, _ *string) error {
+	<-e.release
+	return nil
+}
+
+func startEcho(c *qt.C, key string) (netip.AddrPort, *echo) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	e := &echo{
+		release: make(chan struct{}),
+	}
+	l := &Listener{
+		Key: []byte(key),
+	}
+	c.Assert(l.Register("Echo", e), qt.IsNil)
+	l.Start(ln)
+	c.Cleanup(func() {
+		close(e.release)
+		_ = l.Close()
+	})
+	return ln.Addr().(*net.TCPAddr).AddrPort(), e
+}
+
+func TestCallReturnsAnswer(t *testing.T) {
+	c := qt.New(t)
+	addr, _ := startEcho(c, "key")
+	m := &Messenger{
+		Key: []byte("key"),
+	}
+	defer func() { _ = m.Close() }()
+	var reply string
+	err := m.Call(context.Background(), addr, "Echo.Echo", "hello", &reply)
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.Equals, "hello")
+}
+
+// A process with another key must not be able to call anything.
+func TestCallWithWrongKeyIsRefused(t *testing.T) {
+	c := qt.New(t)
+	addr, _ := startEcho(c, "key")
+	m := &Messenger{
+		Key: []byte("other"),
+	}
+	defer func() { _ = m.Close() }()
+	var reply string
+	err := m.Call(context.Background(), addr, "Echo.Echo", "hello", &reply)
+	c.Assert(errors.Is(err, ErrAuthentication), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(reply, qt.Equals, "")
+}
+
+// A call whose answer never comes must end at its deadline and leave the messenger usable.
+func TestCallEndsAtItsDeadline(t *testing.T) {
+	c := qt.New(t)
+	addr, _ := startEcho(c, "key")
+	m := &Messenger{
+		Key: []byte("key"),
+	}
+	defer func() { _ = m.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var reply string
+	err := m.Call(ctx, addr, "Echo.Hang", "", &reply)
+	c.Assert(errors.Is(err, ErrTimeout), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(m.Call(context.Background(), addr, "Echo.Echo", "again", &reply), qt.IsNil)
+	c.Assert(reply, qt.Equals, "again")
+}
