Add the emulated target and the open-loop load generator

Cause: the router's parts and the integration tests need targets that hold leases and fail as real ones do, and callers whose arrivals do not wait for answers.

Change: package emulator speaks the target protocol, keeps a record of runs and held slots, and freezes, crashes, slows, drains and becomes cold on command, from Go or over its control address. Package loader sends Poisson arrivals with skewed keys to the entry hosts in turn, and records what each caller was told and whether the body belongs to it.

Conclusion: demo and the integration tests can be wired to both.

--- /dev/null
+++ b/emulator/record.go
@@ -0,0 +1,105 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"bramleyline.example/bramleyline/fencer"
+	"bramleyline.example/bramleyline/keyer"
+)
+
+// Result says how a run ended.
+type Result string
+
+// The results of a run. A run that crashed, or that was cancelled or passed its deadline, may have had its effect.
+const (
+	ResultRunning   Result = "running"
+	ResultFinished  Result = "finished"
+	ResultCrashed   Result = "crashed"
+	ResultCancelled Result = "cancelled"
+	// ResultStale is a run whose lease lapsed before it took effect; the caller was told notRun.
+	ResultStale Result = "stale"
+)
+
+// Run is one request that the target began to run.
+type Run struct {
+	Target      string
+	DataCentre  string
+	Service     string
+	Incarnation uint64
+	// Request is the router's identity of the request, Identity the caller's and Attempt the number of the caller's
+	// attempt.
+	Request  string
+	Identity string
+	Attempt  int
+	Method   string
+	Key      string
+	// Keyed says that Slot and Epoch were stated.
+	Keyed   bool
+	Slot    keyer.Slot
+	Epoch   fencer.Epoch
+	Started time.Time
+	// Ended is zero while the run goes on.
+	Ended  time.Time
+	Result Result
+	// LeaseUntil is the end of the target's lease as known when the run started.
+	LeaseUntil time.Time
+	// InFlight counts the requests in progress with this one, and Bears how many the target could bear then.
+	InFlight int
+	Bears    int
+	// Draining says that the target had said before that it drains, and since when.
+	DrainingSince time.Time
+}
+
+// Holding is a time for which the target believed that it owned a slot under an epoch.
+type Holding struct {
+	Target      string
+	DataCentre  string
+	Service     string
+	Incarnation uint64
+	Slot        keyer.Slot
+	Epoch       fencer.Epoch
+	From        time.Time
+	Until       time.Time
+}
+
+// Runs returns a copy of the record of all runs, of all incarnations, in the order of their start.
+func (e *Emulator) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make([]Run, len(e.runs))
+	for i, r := range e.runs {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// Holdings returns a copy of the record of the slots that the target believed to own.
+func (e *Emulator) Holdings() []Holding {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holdings := slices.Clone(e.past)
+	if e.life != nil {
+		for _, h := range e.life.owned {
+			holdings = append(holdings, *h)
+		}
+	}
+	slices.SortFunc(holdings, func(a, b Holding) int {
+		return a.From.Compare(b.From)
+	})
+	return holdings
+}
+
+// endHolding moves the holding of slot to the past; it ended at now or when the lease lapsed, whichever was first.
+// The caller holds e.mu.
+func (l *life) endHolding(slot keyer.Slot, now time.Time) {
+	h, ok := l.owned[slot]
+	if !ok {
+		return
+	}
+	if now.Before(h.Until) {
+		h.Until = now
+	}
+	l.e.past = append(l.e.past, *h)
+	delete(l.owned, slot)
+}
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,144 @@
+package loader
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/emulator"
+)
+
+func run(t *testing.T, o Options) []Record {
+	l := New(o)
+	qt.Assert(t, l.Start(), qt.IsNil)
+	<-l.Done()
+	return l.Records()
+}
+
+// TestWholeAnswers guards against a loader that loses requests or judges a right answer as wrong.
+func TestWholeAnswers(t *testing.T) {
+	c := qt.New(t)
+	e := emulator.New(emulator.Options{
+		Warm:        true,
+		Slots:       100,
+		ServiceTime: time.Millisecond,
+		AnswerBytes: 5000,
+	})
+	c.Assert(e.Start(), qt.IsNil)
+	defer e.Close()
+	records := run(t, Options{
+		Entries: []netip.AddrPort{e.Addr()},
+		Rate:    500,
+		Count:   100,
+		Seed:    1,
+		Mix: []Traffic{{
+			Service:    "payroll",
+			WriteShare: 0.5,
+			BodyBytes:  100,
+		}},
+	})
+	s := Summarize(records, "")
+	c.Assert(s.Requests, qt.Equals, 100)
+	c.Assert(s.Served, qt.Equals, 100)
+	c.Assert(e.Runs(), qt.HasLen, 100)
+}
+
+// TestVerdicts guards against answers of other requests, damaged ones and cut ones that count as served.
+func TestVerdicts(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answer  func(w http.ResponseWriter)
+		told    string
+		verdict string
+	}{{
+		name: "foreign",
+		answer: func(w http.ResponseWriter) {
+			a := emulator.Answer{Identity: "other", Attempt: 1}
+			_, _ = w.Write([]byte(`{"identity":"other","attempt":1,"padding":"","digest":"` + a.Sum() + `"}`))
+		},
+		told:    "ok",
+		verdict: VerdictForeign,
+	}, {
+		name:    "damaged",
+		answer:  func(w http.ResponseWriter) { _, _ = w.Write([]byte(`{"identity":"x"`)) },
+		told:    "ok",
+		verdict: VerdictDamaged,
+	}, {
+		name: "cut",
+		answer: func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("{"))
+			panic(http.ErrAbortHandler)
+		},
+		told: "lost",
+	}} {
+		t.Run(test.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				test.answer(w)
+			}))
+			defer srv.Close()
+			records := run(t, Options{
+				Entries: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))},
+				Count:   1,
+			})
+			qt.Assert(t, records, qt.HasLen, 1)
+			qt.Assert(t, records[0].Last().Told(), qt.Equals, test.told)
+			qt.Assert(t, records[0].Last().Verdict, qt.Equals, test.verdict)
+			qt.Assert(t, records[0].Served(), qt.IsFalse)
+		})
+	}
+}
+
+// TestResend guards against resends of requests whose fate is unknown, and against resends under another identity.
+func TestResend(t *testing.T) {
+	c := qt.New(t)
+	var seen []string
+	outcome := "notRun"
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = append(seen, r.Header.Get(emulator.HeaderIdentity)+" "+r.Header.Get(emulator.HeaderAttempt))
+		w.Header().Set(emulator.HeaderOutcome, outcome)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	o := Options{
+		Entries:    []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))},
+		Count:      1,
+		Resends:    2,
+		ResendWait: time.Millisecond,
+	}
+	id := run(t, o)[0].Identity
+	c.Assert(seen, qt.DeepEquals, []string{id + " 1", id + " 2", id + " 3"})
+	seen = nil
+	outcome = "unknown"
+	c.Assert(run(t, o)[0].Attempts, qt.HasLen, 1)
+}
+
+// TestReadiness guards against requests to hosts that the balancer skips.
+func TestReadiness(t *testing.T) {
+	c := qt.New(t)
+	e := emulator.New(emulator.Options{
+		Warm:  true,
+		Slots: 100,
+	})
+	c.Assert(e.Start(), qt.IsNil)
+	defer e.Close()
+	dead := netip.MustParseAddrPort("127.0.0.1:1")
+	l := New(Options{
+		Entries: []netip.AddrPort{dead, e.Addr()},
+		Count:   20,
+		Rate:    100,
+		Ready: func(_ context.Context, entry netip.AddrPort) bool {
+			return entry == e.Addr()
+		},
+	})
+	l.ready[0].Store(false)
+	c.Assert(l.Start(), qt.IsNil)
+	<-l.Done()
+	c.Assert(Summarize(l.Records(), "").Served, qt.Equals, 20)
+}
--- /dev/null
+++ b/loader/mix.go
@@ -0,0 +1,63 @@
+package loader
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// request is one request before it is sent.
+type request struct {
+	record  Record
+	traffic *Traffic
+}
+
+// mixer draws requests from the parts of the traffic.
+type mixer struct {
+	rng    *rand.Rand
+	mix    []Traffic
+	keys   []*keySource
+	writes []int
+	total  float64
+}
+
+func newMixer(mix []Traffic, rng *rand.Rand) *mixer {
+	m := &mixer{
+		rng:    rng,
+		mix:    mix,
+		writes: make([]int, len(mix)),
+	}
+	for _, t := range mix {
+		m.keys = append(m.keys, newKeySource(t, rng))
+		m.total += t.Share
+	}
+	return m
+}
+
+func (m *mixer) draw(at time.Duration) request {
+	x := m.rng.Float64() * m.total
+	i := 0
+	for i < len(m.mix)-1 && x >= m.mix[i].Share {
+		x -= m.mix[i].Share
+		i++
+	}
+	t := &m.mix[i]
+	r := Record{
+		Service:    t.Service,
+		Method:     http.MethodGet,
+		Idempotent: true,
+	}
+	if t.Key != "" {
+		r.Key = m.keys[i].draw(at)
+	}
+	if m.rng.Float64() < t.WriteShare {
+		r.Method = http.MethodPost
+		r.Idempotent = false
+		m.writes[i]++
+		r.Poison = t.PoisonEvery > 0 && m.writes[i]%t.PoisonEvery == 0
+	}
+	return request{
+		record:  r,
+		traffic: t,
+	}
+}
--- /dev/null
+++ b/loader/summary.go
@@ -0,0 +1,56 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latencies are recorded in microseconds from 1 µs to 60 s with three significant figures.
+const (
+	minLatency = 1
+	maxLatency = 60_000_000
+	figures    = 3
+)
+
+// Summary counts what the callers of one service, or of all, were told.
+type Summary struct {
+	Requests int
+	Served   int
+	Attempts int
+	// NotSent counts requests beyond MaxInFlight.
+	NotSent int
+	// Told counts the last attempts by what they told the caller.
+	Told map[string]int
+	// P50 to Max are latencies of served requests from the intended start.
+	P50, P99, P999, Max time.Duration
+}
+
+// Summarize summarizes the records of service, of all services if it is empty.
+func Summarize(records []Record, service string) Summary {
+	s := Summary{
+		Told: make(map[string]int),
+	}
+	h := hdrhistogram.New(minLatency, maxLatency, figures)
+	for _, r := range records {
+		if service != "" && r.Service != service {
+			continue
+		}
+		s.Requests++
+		s.Attempts += len(r.Attempts)
+		if len(r.Attempts) == 0 {
+			s.NotSent++
+			continue
+		}
+		s.Told[r.Last().Told()]++
+		if r.Served() {
+			s.Served++
+			_ = h.RecordValue(min(maxLatency, max(minLatency, r.Latency().Microseconds())))
+		}
+	}
+	s.P50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
+	s.P99 = time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+	s.P999 = time.Duration(h.ValueAtQuantile(99.9)) * time.Microsecond
+	s.Max = time.Duration(h.Max()) * time.Microsecond
+	return s
+}
