Record refused requests at the emulated target

Cause: work that a target refuses is still work that was sent to it, so a takeout must be judged with it.

Change: a refusal is a Run with result refused and its reason.

Conclusion: the auditor sees all arrivals.

--- a/emulator/handler.go
+++ b/emulator/handler.go
@@ -68,12 +68,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
-	deadline, hasDeadline := deadlineOf(r, arrived)
-	if hasDeadline && !time.Now().Before(deadline) {
-		refuse(w, refusal{http.StatusServiceUnavailable, "overloaded"})
-		return
-	}
-	run, wait, no := l.admit(r)
+	run, wait, no := l.admit(r, arrived)
 	if no != nil {
 		refuse(w, *no)
 		return
@@ -85,7 +80,7 @@
 		l.e.crash(l, l.e.opts.Restart)
 		panic(http.ErrAbortHandler)
 	}
-	result := l.work(r, wait, deadline, hasDeadline)
+	result := l.work(r, wait, arrived)
 	if !l.waitThaw() {
 		panic(http.ErrAbortHandler)
 	}
@@ -103,7 +98,7 @@
 }
 
 // admit begins a run or says why not. It returns neither if the target fell over or is gone.
-func (l *life) admit(r *http.Request) (*Run, time.Duration, *refusal) {
+func (l *life) admit(r *http.Request, arrived time.Time) (*Run, time.Duration, *refusal) {
 	run := newRun(r)
 	e := l.e
 	e.mu.Lock()
@@ -112,19 +107,6 @@
 		return nil, 0, nil
 	}
 	now := time.Now()
-	if !e.draining.IsZero() && !e.opts.AcceptsDraining {
-		return nil, 0, &refusal{http.StatusServiceUnavailable, "draining"}
-	}
-	if run.Keyed && !l.holds(run, now) {
-		return nil, 0, &refusal{http.StatusConflict, "staleEpoch"}
-	}
-	if l.inFlight >= e.opts.Slots {
-		return nil, 0, &refusal{http.StatusTooManyRequests, "overloaded"}
-	}
-	bears := l.bears(now)
-	if l.inFlight+1 > bears && l.coldAnswers < coldNotice {
-		return nil, 0, &refusal{http.StatusTooManyRequests, "cold"}
-	}
 	run.Target = e.opts.Name
 	run.DataCentre = e.opts.DataCentre
 	if e.opts.Service != "" {
@@ -133,21 +115,45 @@
 	run.Incarnation = l.incarnation
 	run.Started = now
 	run.LeaseUntil = l.lease.Until()
+	run.DrainingSince = e.draining
+	run.InFlight = l.inFlight
+	run.Bears = l.bears(now)
+	e.runs = append(e.runs, run)
+	if no := l.refuses(run, r, arrived); no != nil {
+		run.Ended = now
+		run.Result = ResultRefused
+		run.Reason = no.reason
+		return nil, 0, no
+	}
 	run.Result = ResultRunning
 	l.inFlight++
 	run.InFlight = l.inFlight
-	run.Bears = bears
-	run.DrainingSince = e.draining
 	if run.Keyed {
 		l.busy[run.Slot]++
 	}
-	e.runs = append(e.runs, run)
-	if run.InFlight > bears {
+	if run.InFlight > run.Bears {
 		go e.crash(l, e.opts.Restart)
 	}
 	return run, e.serviceTime(), nil
 }
 
+// refuses says why the target does not run a request, nil if it does. The caller holds e.mu.
+func (l *life) refuses(run *Run, r *http.Request, arrived time.Time) *refusal {
+	o := l.e.opts
+	deadline, ok := deadlineOf(r, arrived)
+	switch {
+	case !run.DrainingSince.IsZero() && !o.AcceptsDraining:
+		return &refusal{http.StatusServiceUnavailable, "draining"}
+	case run.Keyed && !l.holds(run, run.Started):
+		return &refusal{http.StatusConflict, "staleEpoch"}
+	case l.inFlight >= o.Slots, ok && !run.Started.Before(deadline):
+		return &refusal{http.StatusTooManyRequests, "overloaded"}
+	case l.inFlight+1 > run.Bears && l.coldAnswers < coldNotice:
+		return &refusal{http.StatusTooManyRequests, "cold"}
+	}
+	return nil
+}
+
 // holds reports whether the target may run keyed work for the slot of run. The caller holds e.mu.
 func (l *life) holds(run *Run, now time.Time) bool {
 	if !l.lease.Valid(now) {
@@ -173,11 +179,11 @@
 }
 
 // work takes the service time, or less if the caller goes away, the deadline passes or the target crashes.
-func (l *life) work(r *http.Request, wait time.Duration, deadline time.Time, hasDeadline bool) Result {
+func (l *life) work(r *http.Request, wait time.Duration, arrived time.Time) Result {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var late <-chan time.Time
-	if hasDeadline {
+	if deadline, ok := deadlineOf(r, arrived); ok {
 		t := time.NewTimer(time.Until(deadline))
 		defer t.Stop()
 		late = t.C
--- a/emulator/record.go
+++ b/emulator/record.go
@@ -19,9 +19,11 @@
 	ResultCancelled Result = "cancelled"
 	// ResultStale is a run whose lease lapsed before it took effect; the caller was told notRun.
 	ResultStale Result = "stale"
+	// ResultRefused is a request that the target refused on arrival with notRun.
+	ResultRefused Result = "refused"
 )
 
-// Run is one request that the target began to run.
+// Run is one request that the target began to run or refused.
 type Run struct {
 	Target      string
 	DataCentre  string
@@ -42,12 +44,14 @@
 	// Ended is zero while the run goes on.
 	Ended  time.Time
 	Result Result
+	// Reason is the reason of a refusal.
+	Reason string
 	// LeaseUntil is the end of the target's lease as known when the run started.
 	LeaseUntil time.Time
 	// InFlight counts the requests in progress with this one, and Bears how many the target could bear then.
 	InFlight int
 	Bears    int
-	// Draining says that the target had said before that it drains, and since when.
+	// DrainingSince is the time since which the target said that it drains, zero if it did not.
 	DrainingSince time.Time
 }
 
--- a/emulator/wire.go
+++ b/emulator/wire.go
@@ -31,6 +31,7 @@
 	Started       int64        `json:"started"`
 	Ended         int64        `json:"ended"`
 	Result        Result       `json:"result"`
+	Reason        string       `json:"reason"`
 	LeaseUntil    int64        `json:"leaseUntil"`
 	InFlight      int          `json:"inFlight"`
 	Bears         int          `json:"bears"`
@@ -67,6 +68,7 @@
 			Started:       toNano(r.Started),
 			Ended:         toNano(r.Ended),
 			Result:        r.Result,
+			Reason:        r.Reason,
 			LeaseUntil:    toNano(r.LeaseUntil),
 			InFlight:      r.InFlight,
 			Bears:         r.Bears,
@@ -117,6 +119,7 @@
 			Started:       fromNano(w.Started),
 			Ended:         fromNano(w.Ended),
 			Result:        w.Result,
+			Reason:        w.Reason,
 			LeaseUntil:    fromNano(w.LeaseUntil),
 			InFlight:      w.InFlight,
 			Bears:         w.Bears,
