--- /dev/null
+++ b/auditor/count.go
@@ -0,0 +1,128 @@
+package auditor
+
+import (
+	"slices"
+	"time"
+
+	"bramleyline.example/bramleyline/emulator"
+	"bramleyline.example/bramleyline/loader"
+)
+
+func count(e Evidence, byAttempt map[attemptID][]emulator.Run) Numbers {
+	n := Numbers{
+		Imbalance: imbalance(e),
+		Outcomes: map[string]loader.Summary{
+			"": loader.Summarize(e.Records, ""),
+		},
+		Refused: make(map[string]int),
+	}
+	for service := range e.Targets {
+		n.Outcomes[service] = loader.Summarize(e.Records, service)
+	}
+	for _, r := range e.Runs {
+		switch r.Result {
+		case emulator.ResultRefused:
+			n.Refused[r.Reason]++
+		case emulator.ResultCrashed:
+			n.Crashes++
+		}
+	}
+	for _, runs := range runsByKey(e) {
+		for i, r := range runs[1:] {
+			if r.Target != runs[i].Target {
+				n.KeyMoves++
+			}
+		}
+	}
+	n.SlotMoves, n.SlotsHeld = slotMoves(e.Holdings)
+	countUnavailable(e, &n)
+	for _, rec := range e.Records {
+		ran := 0
+		for _, at := range rec.Attempts {
+			if slices.ContainsFunc(byAttempt[attemptID{rec.Identity, at.Number}], mayHaveRun) {
+				ran++
+			}
+		}
+		if !rec.Idempotent && ran > 1 {
+			n.CallerRepeats++
+		}
+	}
+	return n
+}
+
+// imbalance returns the maximum over the mean of finished requests for each target.
+func imbalance(e Evidence) map[string]float64 {
+	finished := make(map[string]int)
+	for _, r := range e.Runs {
+		if r.Result == emulator.ResultFinished {
+			finished[r.Target]++
+		}
+	}
+	imbalance := make(map[string]float64)
+	for service, targets := range e.Targets {
+		sum, most := 0, 0
+		for _, target := range targets {
+			sum += finished[target]
+			most = max(most, finished[target])
+		}
+		if sum > 0 {
+			imbalance[service] = float64(most) * float64(len(targets)) / float64(sum)
+		}
+	}
+	return imbalance
+}
+
+func slotMoves(holdings []emulator.Holding) (moves, held int) {
+	type slotID struct {
+		service string
+		slot    uint32
+	}
+	holdings = slices.Clone(holdings)
+	slices.SortFunc(holdings, func(a, b emulator.Holding) int { return a.From.Compare(b.From) })
+	owner := make(map[slotID]string)
+	for _, h := range holdings {
+		id := slotID{h.Service, uint32(h.Slot)}
+		if last, ok := owner[id]; ok && last != h.Target {
+			moves++
+		}
+		owner[id] = h.Target
+	}
+	return moves, len(owner)
+}
+
+// countUnavailable adds up the times in which keys of keyed services were not served.
+func countUnavailable(e Evidence, n *Numbers) {
+	byKey := make(map[keyID][]loader.Record)
+	for _, r := range e.Records {
+		if e.Keyed[r.Service] && len(r.Attempts) > 0 && !r.Poison {
+			id := keyID{r.Service, r.Key}
+			byKey[id] = append(byKey[id], r)
+		}
+	}
+	for _, records := range byKey {
+		slices.SortFunc(records, func(a, b loader.Record) int { return a.Intended.Compare(b.Intended) })
+		var since time.Time
+		failed := false
+		end := func(at time.Time) {
+			d := at.Sub(since)
+			n.Unavailable += d
+			n.WorstUnavailable = max(n.WorstUnavailable, d)
+			since = time.Time{}
+		}
+		for _, r := range records {
+			switch {
+			case !r.Served() && since.IsZero():
+				since = r.Intended
+				failed = true
+			case r.Served() && !since.IsZero():
+				end(r.Intended)
+			}
+		}
+		if !since.IsZero() {
+			end(records[len(records)-1].Ended)
+		}
+		if failed {
+			n.KeysUnavailable++
+		}
+	}
+}
