--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,10 +6,15 @@
 	"flag"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/settler"
 )
 
 // Exit codes of the program.
@@ -23,32 +28,53 @@
 // environmentPrefix precedes the name of a flag in the environment, as in BRAMLEYLINE_FOR.
 const environmentPrefix = "BRAMLEYLINE"
 
-// ErrUsage reports a command line that cannot be understood.
-var ErrUsage = errors.New("wrong usage")
+var (
+	// ErrUsage reports a command line that cannot be understood.
+	ErrUsage = errors.New("wrong usage")
+	// ErrNotAvailable reports a command whose function is not part of this build.
+	ErrNotAvailable = errors.New("command is not available in this build")
+	// ErrFindings reports files with findings, which were written before.
+	ErrFindings = errors.New("findings")
+)
 
-// Commander runs one command line.
+// Commander runs one command line. A command whose function is nil answers that it is not available.
 type Commander struct {
 	// Args are the arguments without the name of the program.
 	Args   []string
 	Stdout io.Writer
 	Stderr io.Writer
+
+	// Serve runs a host until ctx ends and then stops it gracefully.
+	Serve func(ctx context.Context, s settler.Settings) error
+	// Demo runs a deployment with stand-in targets in this process.
+	Demo func(ctx context.Context, o DemoOptions) error
+	// Target and Measure get the arguments after their name, flags included. They report wrong usage with ErrUsage and
+	// -h with flag.ErrHelp.
+	Target  func(ctx context.Context, args []string) error
+	Measure func(ctx context.Context, args []string) error
+}
+
+// DemoOptions are the flags of the command demo.
+type DemoOptions struct {
+	// For is how long the demo runs; zero means until it is interrupted.
+	For time.Duration
 }
 
 // Run runs the command and returns the exit code: 0 for success, 1 for a refusal or faults found, 2 for wrong usage.
+// SIGINT and SIGTERM end the command's context; a second one ends the process.
 func (c *Commander) Run() int {
-	root := c.root()
-	if err := root.Parse(c.Args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return exitOK
-		}
-		fmt.Fprintln(c.Stderr, err)
-		return exitUsage
-	}
-	err := root.Run(context.Background())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	err := c.run(ctx)
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, flag.ErrHelp), errors.Is(err, ErrUsage):
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.Is(err, errFlags):
+		return exitUsage
+	case errors.Is(err, ErrUsage):
 		fmt.Fprintln(c.Stderr, err)
 		return exitUsage
 	}
@@ -56,14 +82,54 @@
 	return exitRefused
 }
 
+// errFlags reports flags that cannot be parsed; the flag package has written why.
+var errFlags = errors.New("wrong flags")
+
+func (c *Commander) run(ctx context.Context) error {
+	if len(c.Args) > 0 {
+		// These parse their own flags.
+		switch c.Args[0] {
+		case "target":
+			return pass(ctx, c.Target, c.Args)
+		case "measure":
+			return pass(ctx, c.Measure, c.Args)
+		}
+	}
+	root := c.root()
+	if err := root.Parse(arrange(root, c.Args)); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return errors.Wrap(errFlags, err.Error())
+	}
+	return root.Run(ctx)
+}
+
+func pass(ctx context.Context, f func(context.Context, []string) error, args []string) error {
+	if f == nil {
+		return errors.Wrap(ErrNotAvailable, args[0])
+	}
+	return f(ctx, args[1:])
+}
+
 func (c *Commander) root() *ffcli.Command {
-	fs := c.flags("bramleyline")
 	return &ffcli.Command{
 		Name:       "bramleyline",
 		ShortUsage: "bramleyline COMMAND [flags] [arguments]",
-		FlagSet:    fs,
+		LongHelp:   rootHelp,
+		FlagSet:    c.flags("bramleyline"),
 		Options:    options(),
-		Exec: func(context.Context, []string) error {
+		Subcommands: []*ffcli.Command{
+			c.demo(),
+			c.serve(),
+			c.check(),
+			shell("target", "run an emulated target", "bramleyline target -h"),
+			shell("measure", "run scenarios and write their figures", "bramleyline measure -h"),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return errors.Wrapf(ErrUsage, "no command %s; -h lists the commands", args[0])
+			}
 			return errors.Wrap(ErrUsage, "name a command; -h lists them")
 		},
 	}
