Open and serve the listeners of a host

Cause: a host needs five listeners with bounds before any part can be wired.

Change: server opens all listeners and reports all failures together; each HTTP listener has header, idle and size bounds and a graceful and an immediate stop.

Conclusion: base for the host process.

--- /dev/null
+++ b/server/listeners.go
@@ -0,0 +1,122 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/settler"
+)
+
+// Bounds of the HTTP listeners. A request's own deadline is shorter; these end connections whose peer is silent.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// listenerSet has the listeners of a host, opened before anything starts so that a wrong address is found at once.
+type listenerSet struct {
+	caller   net.Listener
+	peer     net.Listener
+	rpc      net.Listener
+	announce net.Listener
+	operator net.Listener
+}
+
+// open listens on all addresses of l and reports all failures together.
+func (s *listenerSet) open(l settler.Listen) error {
+	var failures []string
+	for _, item := range []struct {
+		ln   *net.Listener
+		addr netip.AddrPort
+	}{
+		{ln: &s.caller, addr: l.Caller},
+		{ln: &s.peer, addr: l.Peer},
+		{ln: &s.rpc, addr: l.RPC},
+		{ln: &s.announce, addr: l.Announce},
+		{ln: &s.operator, addr: l.Operator},
+	} {
+		if *item.ln != nil || !item.addr.IsValid() {
+			continue
+		}
+		ln, err := net.Listen("tcp", item.addr.String())
+		if err != nil {
+			failures = append(failures, err.Error())
+			continue
+		}
+		*item.ln = ln
+	}
+	if len(failures) > 0 {
+		s.close()
+		return errors.Errorf("listen: %q", failures)
+	}
+	return nil
+}
+
+func (s *listenerSet) close() {
+	for _, ln := range []net.Listener{s.caller, s.peer, s.rpc, s.announce, s.operator} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// address returns the address of ln, the zero AddrPort if there is none.
+func address(ln net.Listener) netip.AddrPort {
+	if ln == nil {
+		return netip.AddrPort{}
+	}
+	if a, ok := ln.Addr().(*net.TCPAddr); ok {
+		return a.AddrPort()
+	}
+	return netip.AddrPort{}
+}
+
+// httpListener serves one handler on one listener.
+type httpListener struct {
+	server *http.Server
+	done   chan struct{}
+}
+
+func serveHTTP(ln net.Listener, h http.Handler, cfg *tls.Config) *httpListener {
+	l := &httpListener{
+		server: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			TLSConfig:         cfg,
+		},
+		done: make(chan struct{}),
+	}
+	if cfg != nil {
+		ln = tls.NewListener(ln, cfg)
+	}
+	go func() {
+		defer close(l.done)
+		_ = l.server.Serve(ln)
+	}()
+	return l
+}
+
+// stop closes the listener and the idle connections, and waits for the requests in progress until ctx ends.
+func (l *httpListener) stop(ctx context.Context) error {
+	err := l.server.Shutdown(ctx)
+	if err != nil {
+		_ = l.server.Close()
+	}
+	<-l.done
+	return errors.Wrap(err, "wait for requests in progress")
+}
+
+// kill closes the listener and all connections at once.
+func (l *httpListener) kill() {
+	_ = l.server.Close()
+	<-l.done
+}
