Let a messenger dial through a function

Cause: faults between processes can only be induced if connections can be led through a proxy.

Change: Messenger.Dial replaces the plain dialer.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -46,6 +46,8 @@
 	Key []byte
 	// TLS is the client's configuration; nil means plain TCP.
 	TLS *tls.Config
+	// Dial makes the connections; nil means a plain net.Dialer. Tests and hosts behind address translation set it.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link
@@ -162,8 +164,12 @@
 func (m *Messenger) dial(ctx context.Context, addr netip.AddrPort) (*watchedConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{}
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	dial := m.Dial
+	if dial == nil {
+		d := net.Dialer{}
+		dial = d.DialContext
+	}
+	conn, err := dial(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", addr, err)
 	}
