Let a host reach announced addresses through translation

Cause: hosts announce one address each, but data centres may reach each other at translated ones, and a test can only cut one direction between two hosts if each pair has its own path.

Change: section [network] with translation = ANNOUNCED>REACHABLE pairs; a pair that cannot be read is a finding.

--- a/settler/reader.go
+++ b/settler/reader.go
@@ -31,6 +31,7 @@
 		"control": {"voters", "hosts"},
 		"keys":    {"system", "systemFile", "target", "targetFile", "operator", "operatorFile"},
 		"tls":     {"certificate", "key", "authority"},
+		"network": {"translation"},
 	}
 }
 
@@ -55,6 +56,7 @@
 	r.host()
 	r.listen()
 	r.control()
+	r.translation()
 	r.settings.Keys.System = r.secret("system")
 	r.settings.Keys.Target = r.secret("target")
 	r.settings.Keys.Operator = r.secret("operator")
@@ -158,6 +160,24 @@
 	}
 }
 
+// translation reads pairs of an announced and a reachable address.
+func (r *reader) translation() {
+	v, _ := r.value("network", "translation")
+	for _, part := range parser.List(v) {
+		from, to, _ := strings.Cut(part, ">")
+		announced, err := netip.ParseAddrPort(from)
+		reachable, err2 := netip.ParseAddrPort(to)
+		if err != nil || err2 != nil {
+			r.find("network", "translation", "translation: %q wants the form IP:PORT>IP:PORT", part)
+			continue
+		}
+		if r.settings.Translation == nil {
+			r.settings.Translation = make(map[netip.AddrPort]netip.AddrPort)
+		}
+		r.settings.Translation[announced] = reachable
+	}
+}
+
 func (r *reader) members(name string) map[string]netip.AddrPort {
 	members := make(map[string]netip.AddrPort)
 	v, _ := r.value("control", name)
--- a/settler/reader_test.go
+++ b/settler/reader_test.go
@@ -69,3 +69,20 @@
 	c.Assert(s.DataFolder, qt.Equals, filepath.Join("..", "examples", "zbiorka", "data", "krakow-1"))
 	c.Assert(s.Keys.Operator, qt.Equals, "zbiorka-example-operator-key")
 }
+
+// A pair that cannot be read must be a finding: the host would otherwise use the address that it cannot reach.
+func TestTranslation(t *testing.T) {
+	c := qt.New(t)
+	file := filepath.Join(t.TempDir(), "host.ini")
+	text := "[network]\ntranslation = 127.0.0.1:7102>127.0.0.1:9102, 127.0.0.1:7103\n"
+	c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	s, findings := Read(file)
+	announced := netip.MustParseAddrPort("127.0.0.1:7102")
+	c.Assert(s.Translation, qt.HasLen, 1)
+	c.Assert(s.Translation[announced], qt.Equals, netip.MustParseAddrPort("127.0.0.1:9102"))
+	var messages []string
+	for _, f := range findings {
+		messages = append(messages, f.Message)
+	}
+	c.Assert(strings.Join(messages, "\n"), qt.Contains, `translation: "127.0.0.1:7103" wants the form IP:PORT>IP:PORT`)
+}
--- a/settler/settings.go
+++ b/settler/settings.go
@@ -19,8 +19,11 @@
 	// state may be pulled; both map a name to the host's rpc address.
 	Voters map[string]netip.AddrPort
 	Hosts  map[string]netip.AddrPort
-	Keys   Keys
-	TLS    TLS
+	// Translation maps an address that other hosts announce to the one at which this host reaches it, for networks with
+	// address translation between data centres.
+	Translation map[netip.AddrPort]netip.AddrPort
+	Keys        Keys
+	TLS         TLS
 }
 
 // Roles are the parts that a host plays.
