--- a/applier/state.go
+++ b/applier/state.go
@@ -14,7 +14,7 @@
 // A State that was published is immutable; Apply works on a copy that shares unchanged parts.
 type State struct {
 	Index uint64
-	// Config is the configuration in force; History has the accepted ones, the newest last.
+	// Config is the configuration in force; History has the newest accepted ones, at most 200, the newest last.
 	Config  StoredConfig
 	History []StoredConfig
 
@@ -26,13 +26,15 @@
 	// TargetsOut has the targets that operators have taken out.
 	TargetsOut map[string]ServiceChange
 	Slots      map[string]*SlotTable
-	// Answered has the results of recent commands by request ID.
-	Answered map[string]Result
+
+	answered *answers
 }
 
 // StoredConfig is an accepted configuration as text.
 type StoredConfig struct {
-	Version  uint64
+	Version uint64
+	// Index is the log index at which the configuration was accepted.
+	Index    uint64
 	Digest   string
 	Operator string
 	At       time.Time
@@ -60,26 +62,12 @@
 	At       time.Time
 }
 
-// SlotTable has one entry for each slot of a keyed service.
-type SlotTable struct {
-	Entries []SlotEntry
-	// HotKeys has the entries of hot keys.
-	HotKeys map[string]SlotEntry
-}
-
-// SlotEntry is the assignment of one slot.
+// SlotEntry is the assignment of one slot, or of one hot key of a slot.
 type SlotEntry struct {
+	Slot       keyer.Slot
 	DataCentre string
 	// DelegatedAt is the log index of the delegation.
 	DelegatedAt uint64
 	Target      string
 	Epoch       fencer.Epoch
 }
-
-// Entry returns the entry of a slot.
-func (t *SlotTable) Entry(slot keyer.Slot) (SlotEntry, bool) {
-	if t == nil || int(slot) >= len(t.Entries) {
-		return SlotEntry{}, false
-	}
-	return t.Entries[slot], true
-}
