--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,202 @@
+// Package controller runs a member of the control group: the consensus core, its journal, and the state that the log
+// makes, in one update loop.
+package controller
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/journaler"
+	"bramleyline.example/bramleyline/replicator"
+)
+
+var (
+	// ErrNotLeader reports a proposal to a host that does not lead the control group. The command was not applied.
+	ErrNotLeader = errors.New("not the control leader")
+	// ErrOutcomeUnknown reports a proposal that may have been applied or may still be.
+	ErrOutcomeUnknown = errors.New("command may have been applied")
+	// ErrStopped reports a controller that was closed or whose journal failed.
+	ErrStopped = errors.New("controller has stopped")
+)
+
+var counters = expvar.NewMap("controller")
+
+// Controller is a running control host. Make it with New.
+type Controller struct {
+	settings settings
+	log      *log.Logger
+
+	journal *journaler.Journaler
+	core    *replicator.Replicator
+	feed    *feed
+	peers   map[string]*peer
+	// waiting has the proposals that were appended, by index.
+	waiting map[uint64]waitingProposal
+	// lastSnapshot is the index of the newest snapshot; snapshotting says that the next one is being encoded.
+	lastSnapshot uint64
+	snapshotting bool
+	wasLeading   bool
+
+	lead    atomic.Pointer[replicator.Lead]
+	contact atomic.Pointer[leaderContact]
+	members atomic.Pointer[[]journaler.Member]
+
+	inbox     chan replicator.Message
+	requests  chan request
+	snapshots chan encodedSnapshot
+
+	startOnce sync.Once
+	started   bool
+	closeOnce sync.Once
+	stop      chan struct{}
+	done      chan struct{}
+	err       error
+}
+
+type leaderContact struct {
+	leader string
+	at     time.Time
+}
+
+// New opens the data folder and returns a controller that has not started yet. The first start of a host uses the
+// voters from the options; later starts use the member list of the log.
+func New(options ...Option) (*Controller, error) {
+	s := defaultSettings()
+	for _, o := range options {
+		o(&s)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	journal, rec, err := journaler.Open(s.fileSystem)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open log of %s", s.name)
+	}
+	state := &applier.State{}
+	if rec.Snapshot != nil {
+		if state, err = applier.DecodeSnapshot(rec.Snapshot.Data); err != nil {
+			return nil, errors.Wrapf(err, "snapshot %d", rec.Snapshot.Index)
+		}
+	}
+	core, err := replicator.New(time.Now(), replicator.Options{
+		Name:            s.name,
+		Members:         s.firstMembers(),
+		ElectionTimeout: s.timing.ElectionTimeout,
+		Seed:            s.seed,
+	}, rec)
+	if err != nil {
+		return nil, errors.Wrapf(err, "log of %s", s.name)
+	}
+	c := Controller{
+		settings:  s,
+		log:       s.logger,
+		journal:   journal,
+		core:      core,
+		feed:      newFeed(state),
+		peers:     make(map[string]*peer),
+		waiting:   make(map[uint64]waitingProposal),
+		inbox:     make(chan replicator.Message, 1024),
+		requests:  make(chan request, 1024),
+		snapshots: make(chan encodedSnapshot, 1),
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+	if rec.Snapshot != nil {
+		c.lastSnapshot = rec.Snapshot.Index
+	}
+	if rec.TornBytes > 0 {
+		c.log.Warn("cut off an incomplete write at the end of the log", "bytes", rec.TornBytes)
+	}
+	c.publish(time.Now())
+	return &c, nil
+}
+
+// Start starts the update loop.
+func (c *Controller) Start() error {
+	c.startOnce.Do(func() {
+		c.started = true
+		go c.run()
+	})
+	return nil
+}
+
+// State returns the newest applied state. It is immutable.
+func (c *Controller) State() *applier.State {
+	return c.feed.current()
+}
+
+// Changed returns a channel that is closed when a newer state than the present one is published. A caller that must not
+// miss a change gets the channel before it reads State.
+func (c *Controller) Changed() <-chan struct{} {
+	return c.feed.changed()
+}
+
+// Leading returns since when this host leads the control group. It is false unless contact with a majority is recent
+// enough that no other host can have been elected at now.
+func (c *Controller) Leading(now time.Time) (since time.Time, ok bool) {
+	l := c.lead.Load()
+	if l == nil || !now.Before(l.Until) {
+		return time.Time{}, false
+	}
+	return l.Since, true
+}
+
+// Contact returns the leader's name and how long ago this host, the leader and a majority are known to have been in
+// contact. The name is empty if no leader is known.
+func (c *Controller) Contact() (leader string, age time.Duration) {
+	l := c.contact.Load()
+	return l.leader, time.Since(l.at)
+}
+
+// Members returns the member list in force at this host.
+func (c *Controller) Members() []journaler.Member {
+	return *c.members.Load()
+}
+
+// Done is closed when the controller has stopped; Err then says why.
+func (c *Controller) Done() <-chan struct{} {
+	return c.done
+}
+
+// Err returns the failure that stopped the controller, nil if it runs or was closed.
+func (c *Controller) Err() error {
+	select {
+	case <-c.done:
+		return c.err
+	default:
+		return nil
+	}
+}
+
+// Close stops the controller. Proposals in progress end with ErrStopped or ErrOutcomeUnknown.
+func (c *Controller) Close() error {
+	c.closeOnce.Do(func() {
+		close(c.stop)
+		c.startOnce.Do(func() {
+			_ = c.journal.Close()
+			close(c.done)
+		})
+	})
+	<-c.done
+	return c.Err()
+}
+
+// Propose appends cmd to the log and returns its result once it is committed and applied here. The error is
+// ErrNotLeader, with the name of the leader if it is known, or ErrOutcomeUnknown, or ErrStopped.
+func (c *Controller) Propose(ctx context.Context, cmd applier.Command) (applier.Result, error) {
+	data, err := applier.EncodeCommand(cmd)
+	if err != nil {
+		return applier.Result{}, err
+	}
+	return c.submit(ctx, request{
+		command: data,
+		outcome: make(chan outcome, 1),
+	})
+}
--- /dev/null
+++ b/controller/feed.go
@@ -0,0 +1,142 @@
+package controller
+
+import (
+	"context"
+	"sync"
+
+	"bramleyline.example/bramleyline/applier"
+)
+
+const (
+	// feedCommands and feedBytes bound the recent commands that hosts without a log can pull; a host that is further
+	// behind gets a snapshot.
+	feedCommands = 8192
+	feedBytes    = 16 << 20
+)
+
+type appliedCommand struct {
+	index uint64
+	data  []byte
+}
+
+// feed publishes the state and the recent commands. It is safe for concurrent use.
+type feed struct {
+	mu    sync.Mutex
+	state *applier.State
+	// base is the index after which commands has all commands.
+	base     uint64
+	commands []appliedCommand
+	bytes    int
+	notify   chan struct{}
+	// encoded is the last snapshot made for a host that was far behind; further ones get it too while the commands after
+	// it are there.
+	encoded      []byte
+	encodedIndex uint64
+}
+
+func newFeed(state *applier.State) *feed {
+	return &feed{
+		state:  state,
+		base:   state.Index,
+		notify: make(chan struct{}),
+	}
+}
+
+func (f *feed) current() *applier.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+func (f *feed) changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.notify
+}
+
+func (f *feed) publish(state *applier.State, commands []appliedCommand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state = state
+	for _, c := range commands {
+		f.commands = append(f.commands, c)
+		f.bytes += len(c.data)
+	}
+	drop := 0
+	for drop < len(f.commands) && (len(f.commands)-drop > feedCommands || f.bytes > feedBytes) {
+		f.bytes -= len(f.commands[drop].data)
+		f.base = f.commands[drop].index
+		drop++
+	}
+	if drop > 0 {
+		clear(f.commands[:drop])
+		f.commands = f.commands[drop:]
+	}
+	close(f.notify)
+	f.notify = make(chan struct{})
+}
+
+func (f *feed) reset(state *applier.State) {
+	f.mu.Lock()
+	f.commands, f.bytes, f.base = nil, 0, state.Index
+	f.mu.Unlock()
+	f.publish(state, nil)
+}
+
+// wait returns when the state is newer than index, or when ctx ends.
+func (f *feed) wait(ctx context.Context, index uint64) {
+	for {
+		f.mu.Lock()
+		newer, notify := f.state.Index > index, f.notify
+		f.mu.Unlock()
+		if newer {
+			return
+		}
+		select {
+		case <-notify:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// since returns the commands after index, of at most maxBytes but at least one, and the index that they lead to. It
+// returns false if they are no longer there, or if index is not in this log yet.
+func (f *feed) since(index uint64, maxBytes int) (commands []appliedCommand, to uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if index < f.base {
+		return nil, 0, false
+	}
+	to = f.state.Index
+	size := 0
+	for _, c := range f.commands {
+		if c.index <= index {
+			continue
+		}
+		if size += len(c.data); size > maxBytes && len(commands) > 0 {
+			return commands, commands[len(commands)-1].index, true
+		}
+		commands = append(commands, c)
+	}
+	return commands, to, true
+}
+
+// snapshot returns an encoded state from which the commands to the present state are there.
+func (f *feed) snapshot() ([]byte, uint64, error) {
+	f.mu.Lock()
+	state := f.state
+	if f.encoded != nil && f.encodedIndex >= f.base {
+		defer f.mu.Unlock()
+		return f.encoded, f.encodedIndex, nil
+	}
+	f.mu.Unlock()
+	b, err := applier.EncodeSnapshot(state)
+	if err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.encoded, f.encodedIndex = b, state.Index
+	return b, state.Index, nil
+}
--- /dev/null
+++ b/controller/group_test.go
@@ -0,0 +1,262 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/asserter"
+	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/controller"
+	"bramleyline.example/bramleyline/follower"
+	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/proposer"
+)
+
+func TestMain(m *testing.M) {
+	asserter.SetFatal(true)
+	os.Exit(m.Run())
+}
+
+// patience bounds the waits of tests for something that has to happen; it is no requirement.
+const patience = 20 * time.Second
+
+// group is a control group over loopback. Each host has its own listener and messenger.
+type group struct {
+	c         *qt.C
+	addrs     map[string]netip.AddrPort
+	folders   map[string]string
+	hosts     map[string]*controller.Controller
+	listeners map[string]*messenger.Listener
+	clients   map[string]*messenger.Messenger
+	client    *messenger.Messenger
+	options   []controller.Option
+}
+
+func startGroup(c *qt.C, n int, options ...controller.Option) *group {
+	g := &group{
+		c:         c,
+		addrs:     make(map[string]netip.AddrPort),
+		folders:   make(map[string]string),
+		hosts:     make(map[string]*controller.Controller),
+		listeners: make(map[string]*messenger.Listener),
+		clients:   make(map[string]*messenger.Messenger),
+		client:    &messenger.Messenger{},
+		options:   options,
+	}
+	listeners := make(map[string]net.Listener)
+	for i := range n {
+		name := fmt.Sprintf("host%d", i+1)
+		ln := listen(c, "127.0.0.1:0")
+		listeners[name] = ln
+		g.addrs[name] = ln.Addr().(*net.TCPAddr).AddrPort()
+		g.folders[name] = c.TempDir()
+	}
+	for name, ln := range listeners {
+		g.start(name, ln)
+	}
+	c.Cleanup(func() {
+		for name := range g.hosts {
+			g.stop(name)
+		}
+		_ = g.client.Close()
+	})
+	return g
+}
+
+func listen(c *qt.C, addr string) net.Listener {
+	ln, err := net.Listen("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	return ln
+}
+
+func (g *group) start(name string, ln net.Listener) {
+	if ln == nil {
+		ln = listen(g.c, g.addrs[name].String())
+	}
+	m := &messenger.Messenger{}
+	timing := configurer.DefaultTiming()
+	timing.ElectionTimeout = 150 * time.Millisecond
+	voters := make(map[string]netip.AddrPort)
+	for n, a := range g.addrs {
+		voters[n] = a
+	}
+	ctl, err := controller.New(append([]controller.Option{
+		controller.WithName(name),
+		controller.WithVoters(voters),
+		controller.WithDataFolder(g.folders[name]),
+		controller.WithTiming(timing),
+		controller.WithMessenger(m),
+		controller.WithSeed(1),
+	}, g.options...)...)
+	g.c.Assert(err, qt.IsNil)
+	l := &messenger.Listener{}
+	g.c.Assert(ctl.Register(l), qt.IsNil)
+	l.Start(ln)
+	g.c.Assert(ctl.Start(), qt.IsNil)
+	g.hosts[name], g.listeners[name], g.clients[name] = ctl, l, m
+}
+
+func (g *group) stop(name string) {
+	_ = g.listeners[name].Close()
+	_ = g.clients[name].Close()
+	g.c.Check(g.hosts[name].Close(), qt.IsNil)
+	delete(g.hosts, name)
+}
+
+func (g *group) leader() string {
+	name := ""
+	g.eventually("a leader", func() bool {
+		for n, h := range g.hosts {
+			if _, ok := h.Leading(time.Now()); ok {
+				name = n
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+func (g *group) eventually(what string, ok func() bool) {
+	g.c.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	g.c.Fatalf("no %s within %s", what, patience)
+}
+
+func (g *group) proposer() *proposer.Proposer {
+	return &proposer.Proposer{
+		Messenger: g.client,
+		Hosts:     func() map[string]netip.AddrPort { return g.addrs },
+	}
+}
+
+func (g *group) takeOut(id, dc string) applier.Result {
+	g.c.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := g.proposer().Propose(ctx, takeOut(id, dc))
+	g.c.Assert(err, qt.IsNil)
+	return r
+}
+
+func takeOut(id, dc string) applier.Command {
+	return applier.Command{
+		RequestID: id,
+		SetService: &applier.SetServiceMsg{
+			DataCentre: dc,
+			Out:        true,
+		},
+	}
+}
+
+// sameState waits until all hosts have applied index, and checks that their states are equal.
+func (g *group) sameState(index uint64) {
+	g.c.Helper()
+	want := ""
+	for name, h := range g.hosts {
+		g.eventually("index at "+name, func() bool { return h.State().Index >= index })
+	}
+	g.eventually("equal states", func() bool {
+		want = ""
+		for _, h := range g.hosts {
+			b, err := applier.EncodeSnapshot(h.State())
+			g.c.Assert(err, qt.IsNil)
+			if want == "" {
+				want = string(b)
+			}
+			if want != string(b) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A group must elect a leader, commit, and have everything again after all hosts restart.
+func TestGroupSurvivesRestartOfAllHosts(t *testing.T) {
+	for _, n := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			g := startGroup(c, n)
+			r := g.takeOut("a", "dc1")
+			g.sameState(r.Index)
+			for name := range g.addrs {
+				g.stop(name)
+			}
+			for name := range g.addrs {
+				g.start(name, nil)
+			}
+			r2 := g.takeOut("b", "dc2")
+			g.sameState(r2.Index)
+			for _, h := range g.hosts {
+				c.Assert(h.State().DataCentres["dc1"].Out, qt.IsTrue)
+				c.Assert(len(h.State().Voters), qt.Equals, n)
+			}
+			c.Assert(g.takeOut("a", "dc1").Index, qt.Equals, r.Index)
+		})
+	}
+}
+
+// A host without a log must get the state from a control host, go on with another one when that is lost, and know the
+// leader.
+func TestFollowerPullsFromAnySource(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, 3)
+	r := g.takeOut("a", "dc1")
+	m := &messenger.Messenger{}
+	defer func() { _ = m.Close() }()
+	leader := g.leader()
+	var sources []follower.Source
+	for _, first := range []bool{false, true} {
+		for name, addr := range g.addrs {
+			if (name == leader) == first {
+				sources = append(sources, follower.Source{
+					Name: name,
+					Addr: addr,
+				})
+			}
+		}
+	}
+	f := follower.New(m, sources, nil)
+	f.Start()
+	defer func() { _ = f.Close() }()
+	g.eventually("state at the follower", func() bool { return f.State().Index >= r.Index })
+	c.Assert(f.State().DataCentres["dc1"].Out, qt.IsTrue)
+	g.eventually("contact", func() bool {
+		name, age := f.Contact()
+		return name == leader && age < time.Second
+	})
+	g.stop(sources[0].Name)
+	changed := f.Changed()
+	r = g.takeOut("b", "dc2")
+	g.eventually("state from another source", func() bool { return f.State().Index >= r.Index })
+	<-changed
+	c.Assert(f.State().DataCentres["dc2"].Out, qt.IsTrue)
+}
+
+// The loss of the leader must not lose an acknowledged command, and two of five hosts may be lost.
+func TestTwoOfFiveHostsMayBeLost(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, 5)
+	for i := range 2 {
+		g.takeOut(fmt.Sprintf("before%d", i), fmt.Sprintf("dc%d", i))
+		g.stop(g.leader())
+	}
+	r := g.takeOut("after", "dc9")
+	g.sameState(r.Index)
+	for _, h := range g.hosts {
+		c.Assert(h.State().DataCentres, qt.HasLen, 3)
+	}
+}
--- /dev/null
+++ b/controller/options.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"io"
+	"net/netip"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/journaler"
+	"bramleyline.example/bramleyline/messenger"
+)
+
+// defaultSnapshotEvery is the number of entries after which a snapshot replaces the log.
+const defaultSnapshotEvery = 4096
+
+type settings struct {
+	name          string
+	voters        map[string]netip.AddrPort
+	fileSystem    journaler.FileSystem
+	timing        configurer.Timing
+	messenger     *messenger.Messenger
+	seed          uint64
+	logger        *log.Logger
+	snapshotEvery uint64
+}
+
+// Option is a setting of a Controller.
+type Option func(*settings)
+
+// WithName sets the name of the host. It is required.
+func WithName(name string) Option {
+	return func(s *settings) { s.name = name }
+}
+
+// WithVoters sets the first voters and their rpc addresses. All first voters must be given the same list. The addresses
+// go before those in the log, so that a host can get another address.
+func WithVoters(voters map[string]netip.AddrPort) Option {
+	return func(s *settings) { s.voters = voters }
+}
+
+// WithDataFolder sets the folder of the log. Either it or WithFileSystem is required.
+func WithDataFolder(folder string) Option {
+	return func(s *settings) {
+		s.fileSystem = journaler.Disk{
+			Folder: folder,
+		}
+	}
+}
+
+// WithFileSystem sets the files of the log.
+func WithFileSystem(fs journaler.FileSystem) Option {
+	return func(s *settings) { s.fileSystem = fs }
+}
+
+// WithTiming sets the election timeout; the default is that of configurer.DefaultTiming.
+func WithTiming(t configurer.Timing) Option {
+	return func(s *settings) { s.timing = t }
+}
+
+// WithMessenger sets what carries messages to other hosts. It is required.
+func WithMessenger(m *messenger.Messenger) Option {
+	return func(s *settings) { s.messenger = m }
+}
+
+// WithSeed sets the seed of the random part of election timeouts.
+func WithSeed(seed uint64) Option {
+	return func(s *settings) { s.seed = seed }
+}
+
+// WithLogger sets where changes of state are logged; nil means nowhere.
+func WithLogger(l *log.Logger) Option {
+	return func(s *settings) {
+		if l != nil {
+			s.logger = l
+		}
+	}
+}
+
+// WithSnapshotEvery sets the number of entries after which a snapshot replaces the log; the default is 4,096.
+func WithSnapshotEvery(entries uint64) Option {
+	return func(s *settings) { s.snapshotEvery = entries }
+}
+
+func defaultSettings() settings {
+	return settings{
+		timing:        configurer.DefaultTiming(),
+		logger:        log.New(io.Discard),
+		snapshotEvery: defaultSnapshotEvery,
+	}
+}
+
+func (s *settings) check() error {
+	switch {
+	case s.name == "":
+		return errors.New("control host has no name")
+	case s.fileSystem == nil:
+		return errors.New("control host has no data folder")
+	case s.messenger == nil:
+		return errors.New("control host has no messenger")
+	case s.timing.ElectionTimeout <= 0:
+		return errors.New("election timeout is not positive")
+	}
+	return nil
+}
+
+func (s *settings) firstMembers() []journaler.Member {
+	members := make([]journaler.Member, 0, len(s.voters))
+	for name, addr := range s.voters {
+		members = append(members, journaler.Member{
+			Name: name,
+			Addr: addr,
+		})
+	}
+	return members
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,193 @@
+// Package follower keeps the replicated state on a host without a log.
+package follower
+
+import (
+	"context"
+	"expvar"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/controller"
+	"bramleyline.example/bramleyline/messenger"
+)
+
+const (
+	// pullWait is how long a source holds an answer back when nothing is new, and so the interval at which contact with
+	// the leader is confirmed.
+	pullWait = 100 * time.Millisecond
+	// pullTimeout bounds one call beyond that. A snapshot of 131,072 slots is about 3 MB.
+	pullTimeout = 500 * time.Millisecond
+	// retryWait keeps a host from calling unreachable sources in a tight loop.
+	retryWait = 50 * time.Millisecond
+	// staleContact is the age of a source's contact with the leader from which another source is tried.
+	staleContact = time.Second
+)
+
+var counters = expvar.NewMap("follower")
+
+// Source is a host that serves State.Pull.
+type Source struct {
+	Name string
+	Addr netip.AddrPort
+}
+
+// Follower pulls the state from the first source that answers. Make it with New.
+type Follower struct {
+	messenger *messenger.Messenger
+	sources   []Source
+	log       *log.Logger
+
+	mu      sync.Mutex
+	state   *applier.State
+	notify  chan struct{}
+	leader  string
+	contact time.Time
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	startOnce sync.Once
+	done      chan struct{}
+}
+
+// New returns a follower that pulls from sources, the nearest first. l may be nil.
+func New(m *messenger.Messenger, sources []Source, l *log.Logger) *Follower {
+	f := Follower{
+		messenger: m,
+		sources:   sources,
+		log:       l,
+		state:     &applier.State{},
+		notify:    make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	return &f
+}
+
+// Start starts to pull.
+func (f *Follower) Start() {
+	f.startOnce.Do(func() { go f.run() })
+}
+
+// State returns the newest state, which is immutable. It is empty until the first answer.
+func (f *Follower) State() *applier.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+// Changed returns a channel that is closed when a newer state than the present one is there. A caller that must not
+// miss a change gets the channel before it reads State.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.notify
+}
+
+// Contact returns the control leader and how long ago it is known that the leader had contact with a majority and with
+// the source of this host. The name is empty before the first answer.
+func (f *Follower) Contact() (leader string, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, time.Since(f.contact)
+}
+
+// Done is closed when the follower has stopped.
+func (f *Follower) Done() <-chan struct{} {
+	return f.done
+}
+
+// Close stops the follower.
+func (f *Follower) Close() error {
+	f.cancel()
+	f.startOnce.Do(func() { close(f.done) })
+	<-f.done
+	return nil
+}
+
+func (f *Follower) run() {
+	defer close(f.done)
+	for i := 0; f.ctx.Err() == nil; {
+		if len(f.sources) == 0 {
+			<-f.ctx.Done()
+			return
+		}
+		err := f.pull(f.sources[i%len(f.sources)])
+		if err == nil {
+			continue
+		}
+		counters.Add("failedPulls", 1)
+		if i++; i%len(f.sources) == 0 {
+			select {
+			case <-time.After(retryWait):
+			case <-f.ctx.Done():
+			}
+		}
+	}
+}
+
+// pull makes one call. Its error says that another source should be tried.
+func (f *Follower) pull(s Source) error {
+	old := f.State()
+	ctx, cancel := context.WithTimeout(f.ctx, pullWait+pullTimeout)
+	defer cancel()
+	asked := time.Now()
+	var reply controller.PullReply
+	if err := f.messenger.Call(ctx, s.Addr, "State.Pull", &controller.PullArgs{
+		Since: old.Index,
+		Wait:  pullWait,
+	}, &reply); err != nil {
+		return err
+	}
+	next, err := advance(old, &reply)
+	if err != nil {
+		if f.log != nil {
+			f.log.Error("cannot apply pulled state", "source", s.Name, "err", err)
+		}
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if next.Index > f.state.Index {
+		f.state = next
+		close(f.notify)
+		f.notify = make(chan struct{})
+	}
+	// The answer left the source at Waited after the question at the earliest.
+	if at := asked.Add(reply.Waited - reply.ContactAge); reply.Leader != "" && at.After(f.contact) {
+		f.leader, f.contact = reply.Leader, at
+	}
+	if reply.Leader == "" || reply.ContactAge > staleContact || reply.Index < old.Index {
+		return errors.Errorf("source %s has no contact with the leader, or is behind", s.Name)
+	}
+	return nil
+}
+
+// advance returns the state that the answer leads to, or old if the source has nothing newer.
+func advance(old *applier.State, reply *controller.PullReply) (*applier.State, error) {
+	if reply.Index <= old.Index {
+		return old, nil
+	}
+	if reply.Snapshot != nil {
+		return applier.DecodeSnapshot(reply.Snapshot)
+	}
+	next := old
+	for i, index := range reply.Indexes {
+		if index <= next.Index {
+			continue
+		}
+		cmd := applier.Command{}
+		if len(reply.Commands[i]) > 0 {
+			var err error
+			if cmd, err = applier.DecodeCommand(reply.Commands[i]); err != nil {
+				return nil, err
+			}
+		}
+		next, _ = next.Apply(index, cmd)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/journaler/filesystem.go
@@ -0,0 +1,91 @@
+package journaler
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// FileSystem is the part of a file system that the journal uses, within one folder. Names have no folder.
+type FileSystem interface {
+	// Create makes an empty file, or empties an existing one.
+	Create(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	Rename(oldName, newName string) error
+	Remove(name string) error
+	// List returns the names of the files in ascending order.
+	List() ([]string, error)
+	// SyncFolder makes created, renamed and removed names durable.
+	SyncFolder() error
+}
+
+// File is a file open for appending. Its content is durable once Sync returned without error.
+type File interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// Disk is the FileSystem of one folder on disk.
+type Disk struct {
+	Folder string
+}
+
+// Create makes an empty file.
+func (d Disk) Create(name string) (File, error) {
+	return os.OpenFile(filepath.Join(d.Folder, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+// ReadFile returns the content of a file.
+func (d Disk) ReadFile(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(d.Folder, name))
+}
+
+// Rename replaces newName by oldName.
+func (d Disk) Rename(oldName, newName string) error {
+	return os.Rename(filepath.Join(d.Folder, oldName), filepath.Join(d.Folder, newName))
+}
+
+// Remove deletes a file.
+func (d Disk) Remove(name string) error {
+	return os.Remove(filepath.Join(d.Folder, name))
+}
+
+// List returns the names of the files in ascending order.
+func (d Disk) List() ([]string, error) {
+	if err := os.MkdirAll(d.Folder, 0o700); err != nil {
+		return nil, err
+	}
+	entries, err := os.ReadDir(d.Folder)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// SyncFolder syncs the folder itself.
+func (d Disk) SyncFolder() error {
+	f, err := os.Open(d.Folder)
+	if err != nil {
+		return err
+	}
+	return firstError(f.Sync(), f.Close())
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/journaler/open.go
@@ -0,0 +1,160 @@
+package journaler
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Open reads the folder of fs and returns a journal that continues it. An incomplete last write is cut off; any other
+// fault is an ErrCorrupt that names the file and the offset.
+func Open(fs FileSystem) (*Journaler, Recovered, error) {
+	j := Journaler{
+		fs: fs,
+	}
+	var r Recovered
+	names, err := fs.List()
+	if err != nil {
+		return nil, r, errors.Wrap(err, "list data folder")
+	}
+	var snapshots []string
+	for _, name := range names {
+		if strings.HasSuffix(name, temporarySuffix) {
+			if err := fs.Remove(name); err != nil {
+				return nil, r, errors.WithStack(err)
+			}
+			continue
+		}
+		if _, _, ok := parseSegmentName(name); ok {
+			j.segments = append(j.segments, name)
+		}
+		if _, ok := parseSnapshotName(name); ok {
+			snapshots = append(snapshots, name)
+		}
+	}
+	if slices.Contains(names, hardStateName) {
+		b, err := fs.ReadFile(hardStateName)
+		if err != nil {
+			return nil, r, errors.WithStack(err)
+		}
+		if r.HardState, err = decodeHardState(b); err != nil {
+			return nil, r, err
+		}
+	}
+	if err := j.readSnapshot(snapshots, &r); err != nil {
+		return nil, r, err
+	}
+	entries, err := j.readSegments(&r)
+	if err != nil {
+		return nil, r, err
+	}
+	if err := j.follow(entries, &r); err != nil {
+		return nil, r, err
+	}
+	return &j, r, nil
+}
+
+// readSnapshot reads the newest snapshot. Older ones are left over from a crash before their removal.
+func (j *Journaler) readSnapshot(names []string, r *Recovered) error {
+	if len(names) == 0 {
+		return nil
+	}
+	name := names[len(names)-1]
+	b, err := j.fs.ReadFile(name)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	body, ok := checked(b)
+	if !ok {
+		return errors.Wrapf(ErrCorrupt, "%s: checksum at offset 0", name)
+	}
+	s, err := decodeSnapshot(body)
+	if err != nil {
+		return errors.Wrapf(ErrCorrupt, "%s: %v", name, err)
+	}
+	r.Snapshot = &s
+	j.snapshot = s.Index
+	for _, old := range names[:len(names)-1] {
+		if err := j.fs.Remove(old); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+// readSegments replays all segments: a record replaces earlier records from its index on.
+func (j *Journaler) readSegments(r *Recovered) ([]Entry, error) {
+	var entries []Entry
+	for i, name := range j.segments {
+		b, err := j.fs.ReadFile(name)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		offset := 0
+		for offset < len(b) {
+			e, _, size, ok := readRecord(b[offset:])
+			if !ok {
+				if i < len(j.segments)-1 || laterBatch(b[offset:], uint64(offset), uint64(offset)) {
+					return nil, errors.Wrapf(ErrCorrupt, "%s: record at offset %d", name, offset)
+				}
+				r.TornBytes = len(b) - offset
+				if err := j.replaceFile(name, b[:offset]); err != nil {
+					return nil, j.fail(err)
+				}
+				break
+			}
+			if entries, ok = splice(entries, e); !ok {
+				return nil, errors.Wrapf(ErrCorrupt, "%s: gap before entry %d at offset %d", name, e.Index, offset)
+			}
+			offset += size
+		}
+	}
+	return entries, nil
+}
+
+// splice adds e to entries, after cutting off those that it replaces. It returns false if e leaves a gap.
+func splice(entries []Entry, e Entry) ([]Entry, bool) {
+	if len(entries) == 0 || e.Index < entries[0].Index {
+		return append(entries[:0], e), true
+	}
+	n := e.Index - entries[0].Index
+	if n > uint64(len(entries)) {
+		return entries, false
+	}
+	return append(entries[:n], e), true
+}
+
+// follow keeps the entries that continue the snapshot, and removes the segments of a log that a received snapshot
+// replaced before a crash.
+func (j *Journaler) follow(entries []Entry, r *Recovered) error {
+	replaced := false
+	if s := r.Snapshot; s != nil {
+		n := 0
+		for n < len(entries) && entries[n].Index <= s.Index {
+			n++
+		}
+		matches := n > 0 && entries[n-1].Index == s.Index && entries[n-1].Term == s.Term
+		continues := n == 0 && len(entries) > 0 && entries[0].Index == s.Index+1
+		switch {
+		case matches, continues:
+			entries = entries[n:]
+		case len(entries) > 0 && n == 0:
+			return errors.Wrapf(ErrCorrupt, "%s: entry %d does not follow snapshot %d", j.segments[0], entries[0].Index, s.Index)
+		default:
+			replaced = true
+			entries = nil
+		}
+		j.last = s.Index
+	} else if len(entries) > 0 && entries[0].Index != 1 {
+		return errors.Wrapf(ErrCorrupt, "%s: entry %d without a snapshot", j.segments[0], entries[0].Index)
+	}
+	r.Entries = entries
+	if len(entries) > 0 {
+		j.last = entries[len(entries)-1].Index
+	}
+	if replaced {
+		return j.dropSegments()
+	}
+	return nil
+}
--- /dev/null
+++ b/replicator/message.go
@@ -0,0 +1,78 @@
+package replicator
+
+import (
+	"time"
+
+	"bramleyline.example/bramleyline/journaler"
+)
+
+// Message goes from one member of the control group to another. Exactly one of the pointers is set.
+type Message struct {
+	From string
+	To   string
+	// Term is the sender's term; in a pre-vote it is the term that the sender would start.
+	Term uint64
+
+	Vote         *VoteMsg
+	VoteAnswer   *VoteAnswerMsg
+	Append       *AppendMsg
+	AppendAnswer *AppendAnswerMsg
+	Snapshot     *SnapshotMsg
+}
+
+// VoteMsg asks for a vote, or with Pre whether a vote would be granted.
+type VoteMsg struct {
+	Pre       bool
+	LastIndex uint64
+	LastTerm  uint64
+}
+
+// VoteAnswerMsg answers a VoteMsg.
+type VoteAnswerMsg struct {
+	Pre     bool
+	Granted bool
+}
+
+// Round identifies one message of a leader. The answer returns it, so that the leader knows when it sent what was
+// answered.
+type Round struct {
+	Number uint64
+	// SentAt is the leader's time since its process started.
+	SentAt time.Duration
+}
+
+// AppendMsg brings entries after PrevIndex; without entries it is a heartbeat.
+type AppendMsg struct {
+	Round     Round
+	PrevIndex uint64
+	PrevTerm  uint64
+	Entries   []journaler.Entry
+	Commit    uint64
+	// MajorityAge is the time since the leader last had contact with a majority.
+	MajorityAge time.Duration
+}
+
+// AppendAnswerMsg answers an AppendMsg or a SnapshotMsg.
+type AppendAnswerMsg struct {
+	Round Round
+	// Match is the index up to which the log is known to equal the leader's and is durable.
+	Match uint64
+	// Rejected says that the entry before the new ones is missing or differs. Hint is an index that may match.
+	Rejected bool
+	Hint     uint64
+	// SnapshotIndex and Received say how much of a snapshot has arrived.
+	SnapshotIndex uint64
+	Received      uint64
+}
+
+// SnapshotMsg brings one part of a snapshot.
+type SnapshotMsg struct {
+	Round       Round
+	Index       uint64
+	Term        uint64
+	Members     []journaler.Member
+	Offset      uint64
+	Data        []byte
+	Done        bool
+	MajorityAge time.Duration
+}
