Add the ownership plane: authority, delegation, target leases and routes

Cause: slots need one owner at a time and a host that dispatches to it. Change: granter, delegator, tracker, placer and sketcher as synchronous cores, and participant, which runs them on one host over net/rpc and HTTP.

--- /dev/null
+++ b/participant/calls.go
@@ -0,0 +1,214 @@
+package participant
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/delegator"
+	"bramleyline.example/bramleyline/granter"
+	"bramleyline.example/bramleyline/reporter"
+	"bramleyline.example/bramleyline/tracker"
+)
+
+// beat sends a heartbeat to the control leader, or asks all control hosts while the leader is unknown.
+func (p *Participant) beat(now time.Time, st *applier.State) {
+	timing := p.config.Timing
+	if p.beating || now.Sub(p.beatAt) < timing.Heartbeat-tickInterval/2 {
+		return
+	}
+	m := p.heartbeatMsg(now)
+	if !p.leadingSince.IsZero() {
+		p.beatAt = now
+		p.leader = p.options.Host.Name
+		p.beaten(now, now, p.leader, p.delegator.Heartbeat(now, m))
+		return
+	}
+	addresses := p.controlHosts(st)
+	if addr, ok := addresses[p.leader]; ok {
+		addresses = map[string]netip.AddrPort{p.leader: addr}
+	}
+	if len(addresses) == 0 {
+		return
+	}
+	p.beating = true
+	p.beatAt = now
+	left := len(addresses)
+	for name, addr := range addresses {
+		p.call(timing.AuthorityLease/3, func(ctx context.Context) {
+			var reply delegator.HeartbeatReply
+			asked := time.Now()
+			err := p.options.Messenger.Call(ctx, addr, "Control.Heartbeat", &m, &reply)
+			p.post(func(now time.Time) {
+				left--
+				p.beating = left > 0
+				if err == nil && reply.Leading {
+					p.leader = name
+					p.beaten(now, asked, name, reply)
+				} else if p.leader == name {
+					p.leader = ""
+					p.beatAt = time.Time{}
+				}
+			})
+		})
+	}
+}
+
+// controlHosts returns the rpc addresses of the other control hosts.
+func (p *Participant) controlHosts(st *applier.State) map[string]netip.AddrPort {
+	addresses := make(map[string]netip.AddrPort)
+	for name, addr := range p.options.Voters {
+		addresses[name] = addr
+	}
+	for name, h := range st.Hosts {
+		if h.Control {
+			addresses[name] = h.RPC
+		}
+	}
+	delete(addresses, p.options.Host.Name)
+	return addresses
+}
+
+func (p *Participant) heartbeatMsg(now time.Time) delegator.HeartbeatMsg {
+	m := delegator.HeartbeatMsg{
+		Host:           p.options.Host,
+		AuthorityIndex: p.granter.Index(),
+		Known:          make(map[string]uint64, len(p.directories)),
+	}
+	if p.pledge.active(now) {
+		m.Promised = p.pledge.index
+	}
+	for name, d := range p.directories {
+		m.Known[name] = d.Version
+	}
+	inService, targets, version, ok := p.granter.Ready()
+	m.Ready, m.InService = ok, inService
+	if ok && version != p.leaderVersion {
+		m.Directory = &delegator.DirectoryMsg{
+			DataCentre: p.options.Host.DataCentre,
+			Version:    version,
+			Targets:    targets,
+		}
+	}
+	return m
+}
+
+// beaten takes the leader's answer to a heartbeat that was sent at asked.
+func (p *Participant) beaten(now, asked time.Time, _ string, r delegator.HeartbeatReply) {
+	if !r.Leading {
+		return
+	}
+	p.contact.Renewed(asked, p.config.Timing.AuthorityLease)
+	p.connected = r.Connected
+	p.leaderVersion = r.DirectoryVersion
+	if len(r.Directories) > 0 {
+		next := make(map[string]delegator.DirectoryMsg, len(p.directories)+1)
+		for name, d := range p.directories {
+			next[name] = d
+		}
+		for _, d := range r.Directories {
+			next[d.DataCentre] = d
+		}
+		p.directories = next
+	}
+	if r.Lease > 0 {
+		p.grant(now, granter.LeaseMsg{
+			AuthorityIndex: r.AuthorityIndex,
+			Asked:          asked,
+			TTL:            r.Lease,
+			Yield:          r.Yield,
+		})
+	}
+}
+
+// report sends the report of this host to the authority of its data centre.
+func (p *Participant) report(now time.Time, st *applier.State) {
+	timing := p.config.Timing
+	if p.reporting || now.Sub(p.reportAt) < timing.Heartbeat-tickInterval/2 {
+		return
+	}
+	authority, ok := st.Hosts[st.DataCentres[p.options.Host.DataCentre].Authority]
+	if !ok {
+		return
+	}
+	p.reportAt = now
+	m := p.tracker.Report(now)
+	if authority.Name == p.options.Host.Name {
+		for _, e := range p.grant(now, m) {
+			if g, ok := e.(reporter.GrantMsg); ok {
+				p.granted(now, now, g)
+			}
+		}
+		return
+	}
+	p.reporting = true
+	p.call(timing.DispatchLease/2, func(ctx context.Context) {
+		var g reporter.GrantMsg
+		asked := time.Now()
+		err := p.options.Messenger.Call(ctx, authority.RPC, "Authority.Report", &m, &g)
+		p.post(func(now time.Time) {
+			p.reporting = false
+			if err == nil {
+				p.granted(now, asked, g)
+			}
+		})
+	})
+}
+
+// granted takes the authority's answer. A new table is acknowledged at once, because moves wait for that.
+func (p *Participant) granted(now, asked time.Time, g reporter.GrantMsg) {
+	if len(g.Targets)+len(g.Slots) > 0 {
+		p.reportAt = time.Time{}
+	}
+	p.tracker.Update(now, tracker.GrantedMsg{
+		Asked: asked,
+		Grant: g,
+	})
+}
+
+// grant passes a message to the granter and carries its effects out; answers to reports are returned.
+func (p *Participant) grant(now time.Time, msg any) []any {
+	effects := p.granter.Update(now, msg)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case granter.ProposeMsg:
+			p.propose(e)
+		case granter.PromiseMsg:
+			p.askPromise(e)
+		}
+	}
+	return effects
+}
+
+func (p *Participant) propose(m granter.ProposeMsg) {
+	p.call(proposeLimit, func(ctx context.Context) {
+		r, err := p.options.Proposer.Propose(ctx, m.Command)
+		p.post(func(now time.Time) {
+			p.grant(now, granter.ProposedMsg{
+				RequestID: m.Command.RequestID,
+				Result:    r,
+				Err:       err,
+			})
+		})
+	})
+}
+
+func (p *Participant) askPromise(m granter.PromiseMsg) {
+	st := p.options.Source.State()
+	if st == nil {
+		return
+	}
+	addr := st.Hosts[m.Host].RPC
+	p.call(p.config.Timing.DispatchLease, func(ctx context.Context) {
+		var answer granter.PromiseMsg
+		if err := p.options.Messenger.Call(ctx, addr, "Authority.Promise", &m, &answer); err != nil || m.Hold == 0 {
+			return
+		}
+		// The time does not survive the wire as a monotonic one.
+		answer.Asked = m.Asked
+		p.post(func(now time.Time) {
+			p.grant(now, answer)
+		})
+	})
+}
--- /dev/null
+++ b/participant/services.go
@@ -0,0 +1,59 @@
+package participant
+
+import (
+	"context"
+	"time"
+
+	"bramleyline.example/bramleyline/delegator"
+	"bramleyline.example/bramleyline/granter"
+	"bramleyline.example/bramleyline/reporter"
+)
+
+// serviceLimit bounds how long an incoming message waits for the loop.
+const serviceLimit = time.Second
+
+// Authority is the RPC service of the authority of a data centre and of the hosts of its in-sync set.
+type Authority struct {
+	p *Participant
+}
+
+// Report answers the report of an entry host. A host that is not the authority answers with a zero AuthorityIndex.
+func (a *Authority) Report(args *reporter.ReportMsg, reply *reporter.GrantMsg) error {
+	ctx, cancel := context.WithTimeout(a.p.ctx, serviceLimit)
+	defer cancel()
+	return a.p.ask(ctx, func(now time.Time) {
+		if a.p.pledge.active(now) {
+			return
+		}
+		for _, e := range a.p.grant(now, *args) {
+			if g, ok := e.(reporter.GrantMsg); ok {
+				*reply = g
+			}
+		}
+	})
+}
+
+// Promise answers an authority that lost the control leader.
+func (a *Authority) Promise(args, reply *granter.PromiseMsg) error {
+	ctx, cancel := context.WithTimeout(a.p.ctx, serviceLimit)
+	defer cancel()
+	return a.p.ask(ctx, func(now time.Time) {
+		*reply = a.p.promise(now, *args)
+	})
+}
+
+// Control is the RPC service of the control leader for the heartbeats of hosts.
+type Control struct {
+	p *Participant
+}
+
+// Heartbeat answers a host's heartbeat. A host that is not the leader answers with Leading false.
+func (c *Control) Heartbeat(args *delegator.HeartbeatMsg, reply *delegator.HeartbeatReply) error {
+	ctx, cancel := context.WithTimeout(c.p.ctx, serviceLimit)
+	defer cancel()
+	return c.p.ask(ctx, func(now time.Time) {
+		if _, ok := c.p.options.Leading(now); ok && !c.p.leadingSince.IsZero() {
+			*reply = c.p.delegator.Heartbeat(now, *args)
+		}
+	})
+}
--- /dev/null
+++ b/sketcher/sketcher.go
@@ -0,0 +1,125 @@
+// Package sketcher finds the keys with the most requests in a stream, in fixed space.
+package sketcher
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+)
+
+// Sketcher counts keys by the space-saving algorithm: a key that has no counter takes over the smallest one. A count is
+// at most the total divided by the number of counters too high. Make it with New. It is not safe for concurrent use.
+type Sketcher struct {
+	size     int
+	counters map[string]*counter
+	order    byCount
+}
+
+// Hot is a key with its estimated count; the true count lies between Count-Error and Count.
+type Hot struct {
+	Key   string
+	Count float64
+	Error float64
+}
+
+type counter struct {
+	Hot
+
+	at int
+}
+
+// New returns a Sketcher with a fixed number of counters.
+func New(size int) *Sketcher {
+	return &Sketcher{
+		size:     max(1, size),
+		counters: make(map[string]*counter, max(1, size)),
+	}
+}
+
+// Add counts n requests of key.
+func (s *Sketcher) Add(key string, n float64) {
+	if c, ok := s.counters[key]; ok {
+		c.Count += n
+		heap.Fix(&s.order, c.at)
+		return
+	}
+	if len(s.order) < s.size {
+		c := &counter{
+			Hot: Hot{
+				Key:   key,
+				Count: n,
+			},
+		}
+		s.counters[key] = c
+		heap.Push(&s.order, c)
+		return
+	}
+	c := s.order[0]
+	delete(s.counters, c.Key)
+	c.Key = key
+	c.Error = c.Count
+	c.Count += n
+	s.counters[key] = c
+	heap.Fix(&s.order, 0)
+}
+
+// Decay multiplies all counts by factor, so that a key that is no longer hot gives way within a few decays. Counters
+// whose guaranteed count fell below one half are freed.
+func (s *Sketcher) Decay(factor float64) {
+	kept := s.order[:0]
+	for _, c := range s.order {
+		c.Count *= factor
+		c.Error *= factor
+		if c.Count < 0.5 {
+			delete(s.counters, c.Key)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(s.order[len(kept):])
+	s.order = kept
+	for i, c := range s.order {
+		c.at = i
+	}
+	heap.Init(&s.order)
+}
+
+// Top returns at most n keys whose guaranteed count reaches least, the hottest first.
+func (s *Sketcher) Top(n int, least float64) []Hot {
+	var top []Hot
+	for _, c := range s.order {
+		if c.Count-c.Error >= least {
+			top = append(top, c.Hot)
+		}
+	}
+	slices.SortFunc(top, func(a, b Hot) int {
+		return cmp.Or(cmp.Compare(b.Count-b.Error, a.Count-a.Error), cmp.Compare(a.Key, b.Key))
+	})
+	return top[:min(n, len(top))]
+}
+
+type byCount []*counter
+
+func (b byCount) Len() int           { return len(b) }
+func (b byCount) Less(i, j int) bool { return b[i].Count < b[j].Count }
+
+func (b byCount) Swap(i, j int) {
+	b[i], b[j] = b[j], b[i]
+	b[i].at, b[j].at = i, j
+}
+
+func (b *byCount) Push(x any) {
+	c, ok := x.(*counter)
+	if !ok {
+		return
+	}
+	c.at = len(*b)
+	*b = append(*b, c)
+}
+
+func (b *byCount) Pop() any {
+	last := len(*b) - 1
+	c := (*b)[last]
+	*b = (*b)[:last]
+	return c
+}
--- /dev/null
+++ b/tracker/handler.go
@@ -0,0 +1,179 @@
+package tracker
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"bramleyline.example/bramleyline/fencer"
+	"bramleyline.example/bramleyline/keyer"
+)
+
+// maxHeartbeat bounds the body of a heartbeat: a target of a service with 131,072 slots that releases all of them sends
+// 7 bytes for each.
+const maxHeartbeat = 1 << 20
+
+var counters = expvar.NewMap("tracker")
+
+// wireHeartbeat is the JSON form of a HeartbeatMsg.
+type wireHeartbeat struct {
+	Name        string         `json:"name"`
+	Service     string         `json:"service"`
+	DataCentre  string         `json:"dataCentre"`
+	Incarnation uint64         `json:"incarnation"`
+	Address     netip.AddrPort `json:"address"`
+	State       string         `json:"state"`
+	Slots       int            `json:"slots"`
+	Connections int            `json:"connections"`
+	InFlight    int            `json:"inFlight"`
+	Load        float64        `json:"load"`
+	LoadAgeMs   int64          `json:"loadAgeMs"`
+	AckVersion  uint64         `json:"ackVersion"`
+	Released    []keyer.Slot   `json:"released"`
+	ChecksEpoch bool           `json:"checksEpoch"`
+}
+
+// wireReply is the JSON form of a HeartbeatReply that grants a lease.
+type wireReply struct {
+	LeaseMs   int64        `json:"leaseMs"`
+	Fence     fencer.Epoch `json:"fence"`
+	Version   uint64       `json:"version"`
+	Owned     []wireRange  `json:"owned"`
+	Releasing []keyer.Slot `json:"releasing"`
+}
+
+type wireRange struct {
+	From  keyer.Slot   `json:"from"`
+	To    keyer.Slot   `json:"to"`
+	Epoch fencer.Epoch `json:"epoch"`
+}
+
+type wireElsewhere struct {
+	Host    string         `json:"host"`
+	Address netip.AddrPort `json:"address"`
+}
+
+// Handler returns the handler of POST /v1/heartbeat for targets that have token. It passes each heartbeat to submit,
+// which runs it through Update. Targets of a data centre other than dc are refused.
+func Handler(token, dc string, submit func(context.Context, HeartbeatMsg) (HeartbeatReply, error)) http.Handler {
+	r := chi.NewRouter()
+	want := sha256.Sum256([]byte("Bearer " + token))
+	r.Post("/v1/heartbeat", func(w http.ResponseWriter, req *http.Request) {
+		counters.Add("heartbeats", 1)
+		// Digests of equal length are compared, so that the time tells nothing about the token.
+		got := sha256.Sum256([]byte(req.Header.Get("Authorization")))
+		if token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			counters.Add("refusedTokens", 1)
+			refuse(w, http.StatusUnauthorized, "token is missing or wrong")
+			return
+		}
+		m, problem := decode(http.MaxBytesReader(w, req.Body, maxHeartbeat))
+		if problem == "" && m.DataCentre != dc {
+			problem = "target belongs to another data centre"
+		}
+		if problem != "" {
+			counters.Add("refusedHeartbeats", 1)
+			refuse(w, http.StatusBadRequest, problem)
+			return
+		}
+		reply, err := submit(req.Context(), m)
+		switch {
+		case err != nil || reply.NoAuthority:
+			counters.Add("heartbeatsWithoutAuthority", 1)
+			refuse(w, http.StatusServiceUnavailable, "host knows no authority yet")
+		case reply.Elsewhere != "":
+			counters.Add("misdirectedHeartbeats", 1)
+			respond(w, http.StatusMisdirectedRequest, wireElsewhere{
+				Host:    reply.Elsewhere,
+				Address: reply.Announce,
+			})
+		default:
+			respond(w, http.StatusOK, encode(reply))
+		}
+	})
+	return r
+}
+
+func decode(body io.Reader) (HeartbeatMsg, string) {
+	var m wireHeartbeat
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&m); err != nil {
+		return HeartbeatMsg{}, "heartbeat is not valid: " + err.Error()
+	}
+	var faults []string
+	if m.Name == "" || m.Service == "" || len(m.Name) > maxName || len(m.Service) > maxName {
+		faults = append(faults, "name and service must have 1 to 128 bytes")
+	}
+	if m.Incarnation == 0 {
+		faults = append(faults, "incarnation must not be zero")
+	}
+	if !m.Address.IsValid() {
+		faults = append(faults, "address must be IP:port")
+	}
+	switch m.State {
+	case "cold", "warm", stateDraining:
+	default:
+		faults = append(faults, "state must be cold, warm or draining")
+	}
+	return HeartbeatMsg{
+		Name:        m.Name,
+		Service:     m.Service,
+		DataCentre:  m.DataCentre,
+		Incarnation: m.Incarnation,
+		Addr:        m.Address,
+		State:       m.State,
+		Slots:       m.Slots,
+		Connections: m.Connections,
+		InFlight:    m.InFlight,
+		Load:        m.Load,
+		LoadAge:     time.Duration(m.LoadAgeMs) * time.Millisecond,
+		AckVersion:  m.AckVersion,
+		Released:    m.Released,
+		ChecksEpoch: m.ChecksEpoch,
+	}, strings.Join(faults, "; ")
+}
+
+// maxName bounds the names that targets announce.
+const maxName = 128
+
+func encode(r HeartbeatReply) wireReply {
+	reply := wireReply{
+		// Whole milliseconds are rounded down: the target must not hold its lease longer than this host believes.
+		LeaseMs:   r.Lease.Milliseconds(),
+		Fence:     r.Fence,
+		Version:   r.Version,
+		Owned:     make([]wireRange, 0, len(r.Owned)),
+		Releasing: r.Releasing,
+	}
+	if reply.Releasing == nil {
+		reply.Releasing = []keyer.Slot{}
+	}
+	for _, o := range r.Owned {
+		reply.Owned = append(reply.Owned, wireRange(o))
+	}
+	return reply
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	respond(w, status, struct {
+		Message string `json:"message"`
+	}{
+		Message: message,
+	})
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
