Add budgets, choice of a target, suspects, histograms and hedging

Cause: the thin request path had no retries, no choice among the targets of a shared service, and no record of requests that crash their targets. A header that ends early counted as malformed and not as severed, so that its request could not become suspect; the connection now remembers what ended its reading. The arguments of an invariant check were allocated for each admission; the check now builds them only when it fails.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,12 +16,14 @@
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/locator"
+	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
 )
 
 var (
 	errQueueFull = errors.New("queue of the target is full")
 	errTooLate   = errors.New("request can no longer be run before its deadline")
+	errLost      = errors.New("target was lost while the request was waiting")
 )
 
 // Sketch finds hot keys. Package sketcher implements it.
@@ -34,6 +36,8 @@
 type Options struct {
 	Locator *locator.Current
 	Sender  *sender.Sender
+	// Quarantiner refuses requests that crash their targets.
+	Quarantiner *quarantiner.Quarantiner
 	// Sketch makes the sketch of hot keys for one target. It may be nil.
 	Sketch func() Sketch
 }
@@ -55,6 +59,20 @@
 	Caller      string
 	Fingerprint uint64
 	Deadline    time.Time
+	// Queued is set to the time for which the request waited.
+	Queued time.Duration
+}
+
+func (j *Job) suspect() quarantiner.Request {
+	r := quarantiner.Request{
+		Service:     j.Service.Name,
+		Identity:    j.Caller,
+		Fingerprint: j.Fingerprint,
+	}
+	if r.Identity == "" {
+		r.Identity = j.Identity
+	}
+	return r
 }
 
 // Dispatcher has a lane for each target. Make it with New.
@@ -66,6 +84,9 @@
 
 // New returns a Dispatcher without lanes.
 func New(opts Options) *Dispatcher {
+	if opts.Quarantiner == nil {
+		opts.Quarantiner = &quarantiner.Quarantiner{}
+	}
 	d := Dispatcher{
 		opts: opts,
 	}
@@ -84,7 +105,8 @@
 		return l
 	}
 	l := lane{
-		id: id,
+		id:   id,
+		runs: d.opts.Quarantiner.Lane(id.service, id.target, id.incarnation, time.Now()),
 	}
 	if d.opts.Sketch != nil {
 		l.sketch = d.opts.Sketch()
@@ -124,13 +146,18 @@
 
 // check verifies that the route of j is still the current one and may take work.
 func (d *Dispatcher) check(j *Job) *sender.Fault {
+	now := time.Now()
 	route := d.resolve(j)
-	if !Admissible(route, time.Now()) {
+	if !Admissible(route, now) {
 		return sender.Refused(sender.ReasonStaleRoute, "this host may not send to the target")
 	}
 	if route != j.Route && (route.Target != j.Route.Target || route.Incarnation != j.Route.Incarnation || route.Epoch != j.Route.Epoch) {
 		return sender.Refused(sender.ReasonStaleRoute, "the slot has another owner or epoch")
 	}
+	cfg := &j.Service.Suspect
+	if d.opts.Quarantiner.Refused(j.suspect(), cfg.CrashLimit, cfg.SuspectTime, now) {
+		return sender.NewFault("suspect", http.StatusUnprocessableEntity, errors.New("targets were lost while they ran this request"))
+	}
 	return nil
 }
 
@@ -147,9 +174,11 @@
 	if l.sketch != nil && j.Key != "" {
 		l.sketch.Add(j.Key)
 	}
-	if f := l.enter(ctx, &j.Service.Limits, j.Key, j.Slot, j.Deadline); f != nil {
+	start := time.Now()
+	if f := l.enter(ctx, &j.Service.Limits, j.Key, j.Slot, start, j.Deadline); f != nil {
 		return nil, f
 	}
+	j.Queued = time.Since(start)
 	return d.send(ctx, l, j)
 }
 
@@ -166,6 +195,8 @@
 	if j.Caller != "" {
 		fields = append(fields, sender.Field{Name: "Bramleyline-Caller-Request", Value: j.Caller})
 	}
+	req := j.suspect()
+	n := l.runs.Begin(req)
 	resp, fault := d.opts.Sender.Send(ctx, &sender.Request{
 		Addr:        j.Route.Addr,
 		Method:      j.Method,
@@ -190,26 +221,11 @@
 		resp, fault = statement(resp)
 	}
 	if fault != nil {
-		l.leave(func(lim *limit) {
-			switch {
-			case fault.Said && !fault.MayHaveRun:
-				lim.refused(fault.Reason)
-			case fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonStaleRoute:
-				lim.failed()
-			}
-		})
+		l.finish(n, req, 0, false, fault)
 		return nil, fault
 	}
 	resp.OnEnd = func(whole bool, f *sender.Fault) {
-		latency := time.Since(start)
-		l.leave(func(lim *limit) {
-			switch {
-			case whole:
-				lim.succeeded(latency)
-			case f != nil && f.Reason != sender.ReasonCancelled:
-				lim.failed()
-			}
-		})
+		l.finish(n, req, time.Since(start), whole, f)
 	}
 	return resp, nil
 }
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
 )
 
@@ -22,6 +24,7 @@
 type lane struct {
 	id     laneID
 	sketch Sketch
+	runs   *quarantiner.Lane
 
 	mu       sync.Mutex
 	limit    limit
@@ -31,8 +34,7 @@
 }
 
 // enter waits for a place at the target. It fails if the request cannot start, and end, before its deadline.
-func (l *lane) enter(ctx context.Context, cfg *configurer.Limits, class string, slot keyer.Slot, deadline time.Time) *sender.Fault {
-	now := time.Now()
+func (l *lane) enter(ctx context.Context, cfg *configurer.Limits, class string, slot keyer.Slot, now, deadline time.Time) *sender.Fault {
 	l.mu.Lock()
 	l.limit.configure(*cfg)
 	if l.queue.len() == 0 && l.inFlight < l.limit.allowed() {
@@ -73,8 +75,11 @@
 }
 
 func (l *lane) took(slot keyer.Slot, err error) *sender.Fault {
+	if err == errLost {
+		return sender.NewFault(sender.ReasonStaleRoute, http.StatusServiceUnavailable, err)
+	}
 	if err != nil {
-		return sender.NewFault(sender.ReasonOverloaded, 503, err)
+		return sender.NewFault(sender.ReasonOverloaded, http.StatusServiceUnavailable, err)
 	}
 	l.mu.Lock()
 	l.count(slot)
@@ -91,8 +96,11 @@
 func (l *lane) occupy() {
 	allowed := l.limit.allowed()
 	l.inFlight++
-	asserter.Check(l.inFlight <= allowed, asserter.ColdAllowance, "target %s has %d requests in progress, %d allowed",
-		l.id.target, l.inFlight, allowed)
+	// The condition stands here too, because the arguments of Check are allocated even if it holds.
+	if l.inFlight > allowed {
+		asserter.Check(false, asserter.ColdAllowance, "target %s has %d requests in progress, %d allowed", l.id.target,
+			l.inFlight, allowed)
+	}
 }
 
 func (l *lane) count(slot keyer.Slot) {
@@ -120,12 +128,44 @@
 	}
 }
 
-// leave records the result of a request and gives its place back.
-func (l *lane) leave(record func(*limit)) {
+// finish records the result of a request that had a place, and gives the place back. f is nil if the answer arrived;
+// whole says that it was read to its end.
+func (l *lane) finish(n uint64, req quarantiner.Request, latency time.Duration, whole bool, f *sender.Fault) {
+	switch {
+	case whole:
+		l.runs.Completed(n, req)
+	case f != nil && f.MayHaveRun:
+		l.runs.Broken(n, f.Severed, time.Now())
+	default:
+		l.runs.Ended(n)
+	}
 	l.mu.Lock()
-	if record != nil {
-		record(&l.limit)
+	defer l.mu.Unlock()
+	switch {
+	case whole:
+		l.limit.succeeded(latency)
+	case f == nil || f.Reason == sender.ReasonCancelled || f.Reason == sender.ReasonStaleRoute || f.Reason == "suspect":
+		// These say nothing about the target.
+	case f.Said:
+		l.limit.refused(f.Reason)
+	default:
+		l.limit.failed()
 	}
 	l.give()
-	l.mu.Unlock()
+}
+
+// abandon turns all waiters away, because the target was lost.
+func (l *lane) abandon() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for w := l.queue.pop(); w != nil; w = l.queue.pop() {
+		w.turn <- errLost
+	}
+}
+
+// load returns the number of requests in progress and waiting.
+func (l *lane) load() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight + l.queue.len()
 }
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,116 @@
+package quarantiner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/reporter"
+)
+
+const keep = 10 * time.Minute
+
+var (
+	now      = time.Unix(1_000_000, 0)
+	poison   = Request{Service: "tally", Identity: "order-1", Fingerprint: 1}
+	innocent = Request{Service: "tally", Identity: "order-2", Fingerprint: 2}
+)
+
+// crash has both requests in progress at a target that is then lost.
+func crash(q *Quarantiner, target string, incarnation uint64) {
+	l := q.Lane("tally", target, incarnation, now)
+	a, b := l.Begin(poison), l.Begin(innocent)
+	l.Broken(a, true, now)
+	l.Broken(b, true, now)
+	q.Lost("tally", target, incarnation, now)
+}
+
+func refused(q *Quarantiner, r Request) bool {
+	return q.Refused(r, 2, keep, now)
+}
+
+// Guards against a request that crashes one target after the other, and against refusing for good what ran beside it.
+func TestRepeatedCrashIsRefusedAndInnocentIsCleared(t *testing.T) {
+	c := qt.New(t)
+	var q Quarantiner
+	crash(&q, "t1", 1)
+	c.Assert(refused(&q, poison), qt.IsFalse)
+	l := q.Lane("tally", "t2", 1, now)
+	l.Completed(l.Begin(innocent), innocent)
+	crash(&q, "t3", 1)
+	c.Assert(refused(&q, poison), qt.IsTrue)
+	c.Assert(refused(&q, innocent), qt.IsFalse)
+	c.Assert(refused(&q, Request{Service: "tally", Identity: "another", Fingerprint: 1}), qt.IsTrue)
+	c.Assert(refused(&q, Request{Service: "tally", Identity: "order-1", Fingerprint: 9}), qt.IsTrue)
+	c.Assert(q.Refused(poison, 2, keep, now.Add(keep)), qt.IsFalse)
+}
+
+// Guards against blaming requests for a frozen target, which loses its lease but no connection.
+func TestFreezeCountsNothingUntilTheTargetRestarts(t *testing.T) {
+	c := qt.New(t)
+	var q Quarantiner
+	for i := range uint64(3) {
+		l := q.Lane("tally", "t1", 1, now)
+		n := l.Begin(poison)
+		q.Lost("tally", "t1", 1, now)
+		if i < 2 {
+			l.Completed(n, poison)
+		}
+	}
+	c.Assert(q.Suspects(now), qt.HasLen, 0)
+	q.Lane("tally", "t1", 2, now)
+	c.Assert(q.Suspects(now), qt.HasLen, 1)
+}
+
+// Guards against counting one loss once for each message about it, also after the request was cleared.
+func TestSameLossCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	var a, b Quarantiner
+	crash(&a, "t1", 1)
+	for range 5 {
+		b.Learn(a.Suspects(now), now)
+		a.Learn(b.Suspects(now), now)
+	}
+	c.Assert(refused(&a, poison), qt.IsFalse)
+	c.Assert(refused(&b, poison), qt.IsFalse)
+	l := b.Lane("tally", "t9", 1, now)
+	l.Completed(l.Begin(innocent), innocent)
+	b.Learn(a.Suspects(now), now)
+	crash(&b, "t2", 7)
+	c.Assert(refused(&b, poison), qt.IsTrue)
+	c.Assert(refused(&b, innocent), qt.IsFalse)
+	a.Learn(b.Suspects(now), now)
+	c.Assert(refused(&a, poison), qt.IsTrue)
+}
+
+// Guards against a connection that breaks for another reason: without a lost target nothing is counted.
+func TestBrokenConnectionAloneCountsNothing(t *testing.T) {
+	var q Quarantiner
+	l := q.Lane("tally", "t1", 1, now)
+	for range 1000 {
+		l.Broken(l.Begin(poison), true, now)
+	}
+	q.Lost("tally", "t1", 1, now.Add(time.Minute))
+	qt.Assert(t, q.Suspects(now), qt.HasLen, 0)
+	qt.Assert(t, len(l.runs) <= maxPending, qt.IsTrue)
+}
+
+// Guards against records without bound when other hosts report ever new requests.
+func TestRecordsAreBounded(t *testing.T) {
+	var q Quarantiner
+	for i := range 2 * maxRecords {
+		q.Learn([]reporter.SuspectMsg{{
+			Service:     "tally",
+			Request:     fmt.Sprint(i),
+			Fingerprint: uint64(i),
+			Crashes:     1,
+			Lost:        "t1",
+			Incarnation: 1,
+		}}, now)
+	}
+	qt.Assert(t, len(q.order), qt.Equals, maxRecords)
+	qt.Assert(t, len(q.fingerprint), qt.Equals, maxRecords)
+	qt.Assert(t, len(q.identity), qt.Equals, maxRecords)
+}
--- /dev/null
+++ b/retrier/budget_test.go
@@ -0,0 +1,29 @@
+package retrier
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a retry storm: when every attempt fails, further attempts must stay within the share.
+func TestBudgetBoundsRetriesToShare(t *testing.T) {
+	c := qt.New(t)
+	var b Budget
+	taken := 0
+	for range 10_000 {
+		b.First(0.1)
+		for b.Take(0.1) {
+			taken++
+		}
+	}
+	c.Assert(taken <= 1000+burst, qt.IsTrue, qt.Commentf("%d", taken))
+	c.Assert(taken >= 1000, qt.IsTrue, qt.Commentf("%d", taken))
+}
+
+// Guards against retries of a service whose budget is zero.
+func TestBudgetOfZeroAllowsNone(t *testing.T) {
+	var b Budget
+	b.First(0)
+	qt.Assert(t, b.Take(0), qt.IsFalse)
+}
--- a/router/accept.go
+++ b/router/accept.go
@@ -70,7 +70,11 @@
 		return refusal(http.StatusNotFound, "unknownService", errors.Errorf("no service %q", name))
 	}
 	x.service = svc
-	x.idempotent = svc.Idempotent
+	x.state = x.router.services.find(name, x.router)
+	if !x.router.room.enter(x.state, cfg, svc.Limits.Weight) {
+		return sender.Refused(sender.ReasonOverloaded, "host has no room for more requests of the service")
+	}
+	x.inRoom = true
 	return nil
 }
 
--- a/router/answer.go
+++ b/router/answer.go
@@ -40,6 +40,7 @@
 		}
 	}
 	asserter.Check(outcome == "unknown" || !x.mayHaveRun, asserter.TrueNotRun, "request %s may have run", x.identity)
+	x.outcome = outcome + ":" + f.Reason
 	body, _ := json.Marshal(answerJSON{
 		Outcome: outcome,
 		Reason:  f.Reason,
@@ -58,16 +59,15 @@
 	}
 }
 
-// pass passes the target's answer on. An answer that is cut after its header went out aborts the caller's connection.
-func (x *exchange) pass(resp *sender.Response) {
+// pass passes the target's answer on. An answer that is cut after its header went out aborts the caller's connection;
+// one that is cut before is returned as a fault.
+func (x *exchange) pass(resp *sender.Response) *sender.Fault {
 	p := buffers.Get().(*[]byte)
 	defer buffers.Put(p)
 	buf := *p
 	n, err := fill(resp, buf)
 	if f, ok := err.(*sender.Fault); ok {
-		x.mayHaveRun = true
-		x.refuse(f)
-		return
+		return f
 	}
 	defer resp.Close()
 	h := x.w.Header()
@@ -96,8 +96,10 @@
 		n, err = resp.Read(buf)
 		sent += int64(n)
 	}
+	x.outcome = "ok"
 	asserter.Check(resp.Length < 0 || sent == resp.Length || x.method == http.MethodHead, asserter.WholeAnswer,
 		"answer to request %s has %d of %d bytes", x.identity, sent, resp.Length)
+	return nil
 }
 
 // fill reads until buf is full, the body has ended, or, for a body of unknown length, the first part has arrived.
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bramleyline.example/bramleyline/asserter"
@@ -11,6 +12,7 @@
 	"bramleyline.example/bramleyline/fencer"
 	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/locator"
+	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/sender"
 )
 
@@ -19,12 +21,12 @@
 
 // exchange is one request and its answer.
 type exchange struct {
-	router     *Router
-	w          http.ResponseWriter
-	start      time.Time
-	deadline   time.Time
-	service    *configurer.Service
-	idempotent func(method string) bool
+	router   *Router
+	w        http.ResponseWriter
+	start    time.Time
+	deadline time.Time
+	service  *configurer.Service
+	state    *service
 
 	key         string
 	method      string
@@ -43,10 +45,55 @@
 	// mayHaveRun says that an earlier attempt may have run, so that the answer can no longer be notRun.
 	mayHaveRun bool
 	attempts   int
+	failed     []string
+	// inRoom says that the request takes a place in the room of the host.
+	inRoom bool
+	// outcome is recorded when the exchange ends. queued is the time for which the request waited for its target.
+	outcome string
+	queued  atomic.Int64
+}
+
+// run accepts the request and serves it, and records the result, also when the caller's connection is aborted.
+func (x *exchange) run(req *http.Request, accept func(*http.Request) *sender.Fault, serve func(context.Context)) {
+	x.router.active.Add(1)
+	x.outcome = "aborted"
+	defer x.end()
+	x.method = req.Method
+	if f := accept(req); f != nil {
+		x.refuse(f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
+	defer cancel()
+	serve(ctx)
+}
+
+func (x *exchange) end() {
+	x.router.active.Add(-1)
+	if x.inRoom {
+		x.router.room.leave(x.state)
+	}
+	// The host that took the request from its caller records it.
+	if x.service == nil || x.hops > 0 {
+		return
+	}
+	class := recorder.Write
+	if x.service.Idempotent(x.method) {
+		class = recorder.Read
+	}
+	x.router.recorder.Record(recorder.Entry{
+		Service: x.service.Name,
+		Class:   class,
+		Outcome: x.outcome,
+		Latency: time.Since(x.start),
+		Queued:  time.Duration(x.queued.Load()),
+	})
 }
 
 // serve makes attempts until one brings an answer or no further one is allowed.
 func (x *exchange) serve(ctx context.Context) {
+	x.state.retries.First(x.service.Retry.RetryBudget)
+	x.state.hedges.First(x.service.Retry.HedgeBudget)
 	handover := x.start.Add(x.service.Ownership.HandoverWait)
 	if handover.After(x.deadline) {
 		handover = x.deadline
@@ -54,96 +101,173 @@
 	var hint *locator.Route
 	for {
 		current := x.router.opts.Locator.Load()
-		slot, route, f := x.route(current)
+		way, f := x.route(current)
+		if hint != nil && (f != nil || hint.Epoch > way.route.Epoch) {
+			way.route, f = hint, nil
+		}
 		if f == nil {
-			if hint != nil && hint.Epoch > route.Epoch {
-				route = hint
-			}
 			var resp *sender.Response
-			resp, hint, f = x.attempt(ctx, slot, route)
+			resp, hint, f = x.attempt(ctx, way)
+			if f == nil {
+				f = x.pass(resp)
+			}
 			if f == nil {
-				x.pass(resp)
 				return
 			}
 			x.mayHaveRun = x.mayHaveRun || f.MayHaveRun
+			x.failed = append(x.failed, way.route.Target)
 		}
-		if ctx.Err() != nil || !x.again(f) {
+		if ctx.Err() != nil || !x.again(f, way.reached(f)) {
 			x.refuse(f)
 			return
 		}
-		if hint == nil && waits(f) && !x.router.watch.wait(ctx, current, handover) {
+		if hint != nil || !x.waits(f) {
+			continue
+		}
+		if !x.waitFor(ctx, current, way, f, handover) {
 			x.refuse(f)
 			return
 		}
+		if !way.reached(f) {
+			// The time bounds these attempts, not their number.
+			x.attempts = 0
+		}
 	}
 }
 
 // waits reports whether a fault goes away only with a newer Locator.
-func waits(f *sender.Fault) bool {
+func (x *exchange) waits(f *sender.Fault) bool {
 	switch f.Reason {
-	case sender.ReasonStaleRoute, sender.ReasonUnreachable, "staleEpoch", "draining", "noOwner", "handover", "notReady":
+	case "noOwner", "handover", "notReady":
 		return true
+	case sender.ReasonStaleRoute, sender.ReasonUnreachable, "staleEpoch", "draining":
+		return x.service.Keyed
 	}
 	return false
 }
 
-// again reports whether another attempt may be made after f.
-func (x *exchange) again(f *sender.Fault) bool {
-	if f.Reason == "suspect" || (f.Status < 500 && !f.MayHaveRun) || x.attempts >= maxAttempts {
+// staleWait is how soon a request tries again after a host refused its route as stale: the table of that host may be
+// the older one.
+const staleWait = 20 * time.Millisecond
+
+// waitFor waits until the Locator has another route than way for the request. It returns false after until.
+func (x *exchange) waitFor(ctx context.Context, current *locator.Locator, failed way, f *sender.Fault, until time.Time) bool {
+	soon := until
+	if f.Reason == sender.ReasonStaleRoute {
+		if soon = time.Now().Add(staleWait); soon.After(until) {
+			soon = until
+		}
+	}
+	for {
+		if !x.router.watch.wait(ctx, current, soon) {
+			return ctx.Err() == nil && time.Now().Before(until)
+		}
+		current = x.router.opts.Locator.Load()
+		next, f := x.route(current)
+		if f == nil && (failed.route == nil || !same(next.route, failed.route)) {
+			return true
+		}
+	}
+}
+
+func same(a, b *locator.Route) bool {
+	return a.Target == b.Target && a.Incarnation == b.Incarnation && a.Epoch == b.Epoch && a.Host == b.Host
+}
+
+// again reports whether another attempt may be made after f. Retries of requests that reached a target or a host that
+// should be able to run them come out of the budget; those that only found a better route do not load any target.
+func (x *exchange) again(f *sender.Fault, reached bool) bool {
+	if x.attempts >= maxAttempts || (f.Status < http.StatusInternalServerError && !f.MayHaveRun && !f.Said) {
+		return false
+	}
+	switch f.Reason {
+	case "suspect", sender.ReasonCancelled, sender.ReasonDeadline:
+		return false
+	case sender.ReasonOverloaded:
+		// The owner of a key is the only target that may run the request.
+		if x.service.Keyed {
+			return false
+		}
+	}
+	if x.mayHaveRun && !x.service.Idempotent(x.method) {
 		return false
 	}
-	return !x.mayHaveRun || x.idempotent(x.method)
+	return !reached || x.state.retries.Take(x.service.Retry.RetryBudget)
 }
 
-// route finds the route of the request in l.
-func (x *exchange) route(l *locator.Locator) (keyer.Slot, *locator.Route, *sender.Fault) {
+// way is how a request gets to its target.
+type way struct {
+	table *locator.Table
+	slot  keyer.Slot
+	route *locator.Route
+}
+
+// reached reports whether the attempt that ended with f counts as one for a target.
+func (w way) reached(f *sender.Fault) bool {
+	return w.route != nil && f.Reason != sender.ReasonStaleRoute
+}
+
+// route finds the way of the request in l.
+func (x *exchange) route(l *locator.Locator) (way, *sender.Fault) {
 	table, ok := l.Table(x.service.Name)
 	if !ok {
-		return 0, nil, sender.Refused("noOwner", "no routing table for the service yet")
+		return way{}, sender.Refused("noOwner", "no routing table for the service yet")
+	}
+	w := way{
+		table: table,
 	}
 	if !table.Keyed {
-		route := x.choose(table)
-		if route == nil {
-			return 0, nil, sender.Refused("noOwner", "the service has no target")
+		if route := x.choose(table); route != nil {
+			w.route = route
+			return w, nil
 		}
-		return 0, route, nil
+		return w, sender.Refused("noOwner", "the service has no target that takes work")
 	}
 	slot, route := table.OwnerOf(x.key)
+	w.slot = slot
 	switch {
 	case route == nil || route.Target == "":
-		return slot, nil, sender.Refused("noOwner", "the slot has no owner")
+		return w, sender.Refused("noOwner", "the slot has no owner")
 	case route.Releasing:
-		return slot, nil, sender.Refused("handover", "the slot is being handed over")
+		return w, sender.Refused("handover", "the slot is being handed over")
 	case route.OutOfService:
-		return slot, nil, sender.Refused("noOwner", "the owner of the slot is out of service")
+		return w, sender.Refused("noOwner", "the owner of the slot is out of service")
 	}
-	return slot, route, nil
+	w.route = route
+	return w, nil
 }
 
-// choose picks a target of a shared service.
+// choose picks a target of a shared service, or finds the one that the forwarding host chose.
 func (x *exchange) choose(t *locator.Table) *locator.Route {
-	n := len(t.Routes)
-	for i := range n {
-		route := &t.Routes[(int(x.fingerprint%uint64(max(1, n)))+x.attempts+i)%n]
-		if x.target != "" && route.Target != x.target {
-			continue
-		}
-		if !route.Releasing && !route.OutOfService {
-			return route
+	if x.target == "" {
+		return x.state.chooser.Choose(t, time.Now(), x.failed...)
+	}
+	for i := range t.Routes {
+		if r := &t.Routes[i]; r.Target == x.target && !r.Releasing && !r.OutOfService {
+			return r
 		}
 	}
 	return nil
 }
 
-// attempt sends the request to the target if this host dispatches for it, else to the host that does.
-func (x *exchange) attempt(ctx context.Context, slot keyer.Slot, route *locator.Route) (*sender.Response, *locator.Route, *sender.Fault) {
-	asserter.Check(!x.mayHaveRun || x.idempotent(x.method), asserter.AtMostOnce,
+// attempt makes one attempt, with a hedged one beside it if that is allowed.
+func (x *exchange) attempt(ctx context.Context, w way) (*sender.Response, *locator.Route, *sender.Fault) {
+	asserter.Check(!x.mayHaveRun || x.service.Idempotent(x.method), asserter.AtMostOnce,
 		"another attempt for request %s, which may have run", x.identity)
 	x.attempts++
+	if w.table == nil || w.table.Keyed || x.hops > 0 {
+		return x.send(ctx, w.slot, w.route)
+	}
+	resp, f := x.hedged(ctx, w.table, w.route)
+	return resp, nil, f
+}
+
+// send sends the request to the target if this host dispatches for it, else to the host that does.
+func (x *exchange) send(ctx context.Context, slot keyer.Slot, route *locator.Route) (*sender.Response, *locator.Route, *sender.Fault) {
 	if !route.Local {
 		return x.forward(ctx, slot, route)
 	}
-	resp, f := x.router.dispatcher.Dispatch(ctx, &dispatcher.Job{
+	j := dispatcher.Job{
 		Service:     x.service,
 		Key:         x.key,
 		Slot:        slot,
@@ -157,6 +281,8 @@
 		Caller:      x.caller,
 		Fingerprint: x.fingerprint,
 		Deadline:    x.deadline,
-	})
+	}
+	resp, f := x.router.dispatcher.Dispatch(ctx, &j)
+	x.queued.Store(int64(j.Queued))
 	return resp, nil, f
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -63,6 +63,9 @@
 	if f != nil {
 		return nil, nil, f
 	}
+	if us, err := strconv.ParseInt(resp.Header.Get("Bramleyline-Queued"), 10, 64); err == nil {
+		x.queued.Store(us * int64(time.Microsecond))
+	}
 	return stated(resp)
 }
 
@@ -101,7 +104,13 @@
 // acceptPeer reads a forwarded request.
 func (x *exchange) acceptPeer(req *http.Request) *sender.Fault {
 	h := req.Header
+	var err error
 	x.identity = h.Get("Bramleyline-Request")
+	x.hops, err = strconv.Atoi(h.Get("Bramleyline-Hops"))
+	if err != nil || x.hops < 1 || x.hops > maxHops {
+		x.hops = maxHops
+		return refusal(http.StatusLoopDetected, "tooManyHops", errors.New("request passed too many hosts"))
+	}
 	if f := x.find(h.Get("Bramleyline-Service")); f != nil {
 		return f
 	}
@@ -110,10 +119,6 @@
 		return refusal(http.StatusBadRequest, "badRequest", errors.New("forwarded request has no deadline"))
 	}
 	x.deadline = x.start.Add(min(time.Duration(min(ms, maxDeadline.Milliseconds()))*time.Millisecond, maxDeadline))
-	x.hops, err = strconv.Atoi(h.Get("Bramleyline-Hops"))
-	if err != nil || x.hops < 1 || x.hops > maxHops {
-		return refusal(http.StatusLoopDetected, "tooManyHops", errors.New("request passed too many hosts"))
-	}
 	x.target, x.caller = h.Get("Bramleyline-Target"), h.Get("Bramleyline-Caller-Request")
 	x.method, x.uri, x.host, x.header = req.Method, req.RequestURI, req.Host, h
 	epoch, deadline, hops, sum := h.Get("Bramleyline-Epoch"), h.Get("Bramleyline-Deadline"), h.Get("Bramleyline-Hops"), h.Get("Bramleyline-Signature")
@@ -138,21 +143,24 @@
 
 // servePeer makes one attempt for a forwarded request; the first host decides on retries.
 func (x *exchange) servePeer(ctx context.Context) {
-	slot, route, f := x.route(x.router.opts.Locator.Load())
-	if f == nil && route.Epoch < x.epoch {
+	w, f := x.route(x.router.opts.Locator.Load())
+	if f == nil && w.route.Epoch < x.epoch {
 		f = sender.Refused(sender.ReasonStaleRoute, "the table of this host is older than the request")
 	}
 	var resp *sender.Response
 	var newer *locator.Route
 	if f == nil {
-		resp, newer, f = x.attempt(ctx, slot, route)
+		resp, newer, f = x.attempt(ctx, w)
+		x.load(w.route)
+	}
+	if f == nil {
+		f = x.pass(resp)
 	}
 	if f == nil {
-		x.pass(resp)
 		return
 	}
-	if newer == nil && route != nil && route.Epoch > x.epoch && !route.Local {
-		newer = route
+	if newer == nil && w.route != nil && w.route.Epoch > x.epoch && !w.route.Local {
+		newer = w.route
 	}
 	if newer != nil {
 		h := x.w.Header()
@@ -161,5 +169,27 @@
 		h.Set("Bramleyline-Route-Peer", newer.Peer.String())
 		h.Set("Bramleyline-Route-Epoch", strconv.FormatUint(uint64(newer.Epoch), 10))
 	}
+	x.mayHaveRun = x.mayHaveRun || f.MayHaveRun
 	x.refuse(f)
 }
+
+// load tells the forwarding host how much work the target has and how long the request waited.
+func (x *exchange) load(route *locator.Route) {
+	h := x.w.Header()
+	if !x.service.Keyed {
+		h["Bramleyline-Load"] = []string{strconv.Itoa(x.router.dispatcher.Load(x.service.Name, route))}
+	}
+	if queued := time.Duration(x.queued.Load()); queued > 0 {
+		h["Bramleyline-Queued"] = []string{strconv.FormatInt(queued.Microseconds(), 10)}
+	}
+}
+
+// reported reads what load wrote. The answer of a target that this host dispatches for itself has no such headers.
+func (x *exchange) reported(t *locator.Table, route *locator.Route, resp *sender.Response) {
+	if route.Local {
+		return
+	}
+	if load, err := strconv.ParseFloat(resp.Header.Get("Bramleyline-Load"), 64); err == nil {
+		x.state.chooser.Report(t, route, load, time.Now(), x.service.Limits.ReportMaxAge)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/dispatcher"
 	"bramleyline.example/bramleyline/locator"
+	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/reporter"
 	"bramleyline.example/bramleyline/sender"
 )
@@ -42,6 +43,9 @@
 	dispatcher *dispatcher.Dispatcher
 	signer     *signer
 	watch      watcher
+	services   services
+	room       room
+	recorder   recorder.Recorder
 	active     atomic.Int64
 	done       chan struct{}
 	closed     atomic.Bool
@@ -66,8 +70,12 @@
 		watch: watcher{
 			current: opts.Locator,
 		},
+		room: room{
+			limit: roomLimit,
+		},
 		done: make(chan struct{}),
 	}
+	r.recorder.Publish(opts.Host)
 	return &r
 }
 
@@ -76,6 +84,29 @@
 	return r.dispatcher
 }
 
+// Recorder returns the histograms of the host, which are also a handler that shows them as text.
+func (r *Router) Recorder() *recorder.Recorder {
+	return &r.recorder
+}
+
+// Reported takes the load that a target of a shared service stated at at. The tracker calls it for heartbeats.
+func (r *Router) Reported(service, target string, load float64, at time.Time) {
+	cfg, table := r.opts.Config(), (*locator.Table)(nil)
+	if cfg != nil {
+		table, _ = r.opts.Locator.Load().Table(service)
+	}
+	if table == nil || table.Keyed {
+		return
+	}
+	svc, ok := cfg.Service(service)
+	for i := range table.Routes {
+		if ok && table.Routes[i].Target == target {
+			r.services.find(service, r).chooser.Report(table, &table.Routes[i], load, at, svc.Limits.ReportMaxAge)
+			return
+		}
+	}
+}
+
 // Done is closed when the Router has been drained.
 func (r *Router) Done() <-chan struct{} {
 	return r.done
@@ -109,39 +140,23 @@
 
 // ServeHTTP answers a caller's request.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r.active.Add(1)
-	defer r.active.Add(-1)
 	x := exchange{
 		router:   r,
 		w:        w,
 		start:    time.Now(),
 		identity: r.identity(),
 	}
-	if f := x.accept(req); f != nil {
-		x.refuse(f)
-		return
-	}
-	ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
-	defer cancel()
-	x.serve(ctx)
+	x.run(req, x.accept, x.serve)
 }
 
 // Peer returns the handler for requests that other entry hosts forwarded.
 func (r *Router) Peer() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.active.Add(1)
-		defer r.active.Add(-1)
 		x := exchange{
 			router: r,
 			w:      w,
 			start:  time.Now(),
 		}
-		if f := x.acceptPeer(req); f != nil {
-			x.refuse(f)
-			return
-		}
-		ctx, cancel := context.WithDeadline(req.Context(), x.deadline)
-		defer cancel()
-		x.servePeer(ctx)
+		x.run(req, x.acceptPeer, x.servePeer)
 	})
 }
--- /dev/null
+++ b/router/service.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"bramleyline.example/bramleyline/chooser"
+	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/retrier"
+)
+
+// service is what a Router keeps for one service while it runs.
+type service struct {
+	retries retrier.Budget
+	hedges  retrier.Budget
+	chooser chooser.Chooser
+	// held is the number of its requests that this host holds.
+	held atomic.Int64
+}
+
+// services finds the service by its name without a lock.
+type services struct {
+	mu     sync.Mutex
+	byName atomic.Pointer[map[string]*service]
+}
+
+func (s *services) find(name string, r *Router) *service {
+	if m := s.byName.Load(); m != nil {
+		if svc, ok := (*m)[name]; ok {
+			return svc
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[string]*service{}
+	if m := s.byName.Load(); m != nil {
+		for k, v := range *m {
+			next[k] = v
+		}
+	}
+	if next[name] == nil {
+		next[name] = &service{
+			chooser: chooser.Chooser{
+				DataCentre: r.opts.DataCentre,
+				Seed:       r.opts.Seed,
+			},
+		}
+		s.byName.Store(&next)
+	}
+	return next[name]
+}
+
+// roomLimit bounds the requests that a host holds, waiting or in progress. With bodies of 1 MB, the default bound, they
+// take at most 4 GB; with the few KB of the services at hand, a few MB.
+const roomLimit = 4096
+
+// room divides the places of a host among services by weight. A service may always use its share, and may borrow as
+// long as half of the room is free, so that a service that comes back finds its share.
+type room struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// enter takes a place and reports whether there was one.
+func (m *room) enter(svc *service, cfg *configurer.Config, weight int) bool {
+	own, all := svc.held.Add(1), m.held.Add(1)
+	if all <= m.limit/2 {
+		return true
+	}
+	sum := 0
+	for i := range cfg.Services {
+		sum += max(1, cfg.Services[i].Limits.Weight)
+	}
+	if own <= m.limit*int64(max(1, weight))/int64(max(1, sum)) {
+		return true
+	}
+	m.leave(svc)
+	return false
+}
+
+func (m *room) leave(svc *service) {
+	svc.held.Add(-1)
+	m.held.Add(-1)
+}
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -105,7 +105,7 @@
 
 // fault closes the connection and describes why.
 func (a *attempt) fault(err error, message string) *Fault {
-	ctxErr := a.ctx.Err()
+	ctxErr, broken := a.ctx.Err(), a.conn.broken
 	a.end(false)
 	f := Fault{
 		Reason:     ReasonCut,
@@ -116,9 +116,9 @@
 	switch {
 	case errors.Is(ctxErr, context.Canceled):
 		f.Reason = ReasonCancelled
-	case ctxErr != nil || errors.Is(err, os.ErrDeadlineExceeded):
+	case ctxErr != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(broken, os.ErrDeadlineExceeded):
 		f.Reason, f.Status = ReasonDeadline, http.StatusGatewayTimeout
-	case severed(err):
+	case severed(err) || severed(broken):
 		f.Severed = true
 	default:
 		f.Reason = ReasonMalformed
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -24,8 +24,9 @@
 	buf     []byte
 	left    int64
 	written int64
-	reused  bool
-	idle    time.Time
+	// broken is the error that ended reading. The HTTP parser reports a header that ends early as malformed.
+	broken error
+	idle   time.Time
 }
 
 func newConn(c net.Conn, p *pool) *conn {
@@ -45,6 +46,9 @@
 	}
 	n, err := c.Conn.Read(b)
 	c.left -= int64(n)
+	if err != nil {
+		c.broken = err
+	}
 	return n, err
 }
 
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -51,7 +51,6 @@
 		p.idle = p.idle[:len(p.idle)-1]
 		p.mu.Unlock()
 		if c.alive() {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
