Join router and ownership plane, and test it with the real state machine

Cause: the router reads the routing table that the tracker publishes, and the tracker reads the router's traffic, so neither could be made first; the fake state machine of participant's tests no longer matched applier.

Change: Participant.SetTraffic before Start; sender and router dial through a function; the fake commits through applier.State.Apply.

Conclusion: the host process can be wired.

--- a/dispatcher/decision_test.go
+++ b/dispatcher/decision_test.go
@@ -45,7 +45,7 @@
 	h.publish(1, addrs...)
 	h.d = New(Options{
 		Locator: &h.current,
-		Sender:  sender.New(),
+		Sender:  sender.New(nil),
 	})
 	return &h
 }
--- a/participant/fake_test.go
+++ b/participant/fake_test.go
@@ -32,12 +32,7 @@
 
 func newMachine() *machine {
 	return &machine{
-		state: &applier.State{
-			Hosts:       map[string]applier.Host{},
-			DataCentres: map[string]applier.DataCentre{},
-			TargetsOut:  map[string]applier.ServiceChange{},
-			Slots:       map[string]*applier.SlotTable{},
-		},
+		state:   &applier.State{},
 		changed: make(chan struct{}),
 	}
 }
@@ -57,74 +52,15 @@
 func (m *machine) Propose(_ context.Context, cmd applier.Command) (applier.Result, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	next := *m.state
-	next.Index++
-	r := apply(&next, cmd)
-	r.Index = next.Index
-	m.state = &next
+	next, r := m.state.Apply(m.state.Index+1, cmd)
+	m.state = next
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return r, nil
 }
 
-func apply(st *applier.State, cmd applier.Command) applier.Result {
-	st.Hosts, st.DataCentres, st.Slots = maps.Clone(st.Hosts), maps.Clone(st.DataCentres), maps.Clone(st.Slots)
-	switch {
-	case cmd.RegisterHost != nil:
-		st.Hosts[cmd.RegisterHost.Host.Name] = cmd.RegisterHost.Host
-	case cmd.SetService != nil:
-		dc := st.DataCentres[cmd.SetService.DataCentre]
-		dc.Out = cmd.SetService.Out
-		st.DataCentres[cmd.SetService.DataCentre] = dc
-	case cmd.NameAuthority != nil:
-		m := cmd.NameAuthority
-		dc := st.DataCentres[m.DataCentre]
-		dc.Name = m.DataCentre
-		dc.Authority, dc.AuthorityIncarnation, dc.AuthorityIndex = m.Host, m.Incarnation, st.Index
-		dc.InSync = map[string]uint64{m.Host: m.Incarnation}
-		st.DataCentres[m.DataCentre] = dc
-	case cmd.SetInSync != nil:
-		dc := st.DataCentres[cmd.SetInSync.DataCentre]
-		if dc.AuthorityIndex != cmd.SetInSync.AuthorityIndex {
-			return applier.Result{Refusal: "old authority"}
-		}
-		dc.InSync = cmd.SetInSync.InSync
-		st.DataCentres[cmd.SetInSync.DataCentre] = dc
-	case cmd.Delegate != nil:
-		m := cmd.Delegate
-		t := editTable(st, m.Service)
-		for _, s := range m.Slots {
-			t.Entries[s] = applier.SlotEntry{DataCentre: m.DataCentre, DelegatedAt: st.Index, Epoch: t.Entries[s].Epoch}
-		}
-	case cmd.Assign != nil:
-		m := cmd.Assign
-		if st.DataCentres[m.DataCentre].AuthorityIndex != m.AuthorityIndex {
-			return applier.Result{Refusal: "old authority"}
-		}
-		for _, o := range m.Owners {
-			if e := st.Slots[m.Service].Entries[o.Slot]; e.DataCentre != m.DataCentre || o.Epoch <= e.Epoch {
-				return applier.Result{Refusal: "not delegated, or old epoch"}
-			}
-		}
-		t := editTable(st, m.Service)
-		for _, o := range m.Owners {
-			t.Entries[o.Slot].Target, t.Entries[o.Slot].Epoch = o.Target, o.Epoch
-		}
-	}
-	return applier.Result{}
-}
-
 const testSlots = 32
 
-func editTable(st *applier.State, service string) *applier.SlotTable {
-	t := &applier.SlotTable{Entries: make([]applier.SlotEntry, testSlots)}
-	if old := st.Slots[service]; old != nil {
-		copy(t.Entries, old.Entries)
-	}
-	st.Slots[service] = t
-	return t
-}
-
 // node is one host of a test.
 type node struct {
 	*Participant
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -17,6 +17,7 @@
 	"bramleyline.example/bramleyline/leaser"
 	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/reporter"
 	"bramleyline.example/bramleyline/tracker"
 )
 
@@ -97,6 +98,12 @@
 	return tracker.Handler(p.options.Token, p.options.Host.DataCentre, p.heartbeat)
 }
 
+// SetTraffic sets the source of traffic before Start. The router needs the routing table first, so the two are joined
+// afterwards.
+func (p *Participant) SetTraffic(t reporter.Traffic) {
+	p.tracker.Traffic = t
+}
+
 // Current returns the place where the routing table is published.
 func (p *Participant) Current() *locator.Current {
 	return p.tracker.Current()
--- a/router/router.go
+++ b/router/router.go
@@ -32,6 +32,8 @@
 	Seed uint64
 	// Sketch makes the sketch of hot keys for one target. It may be nil.
 	Sketch func() dispatcher.Sketch
+	// Dial makes connections to targets and hosts; nil means a plain net.Dialer.
+	Dial sender.DialFunc
 }
 
 // Router is the handler for callers' requests. Make it with New.
@@ -56,7 +58,7 @@
 	if opts.Seed == 0 {
 		opts.Seed = rand.Uint64()
 	}
-	s := sender.New()
+	s := sender.New(opts.Dial)
 	r := Router{
 		opts:   opts,
 		prefix: opts.Host + "-" + strconv.FormatUint(opts.Seed, 36) + "-",
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -75,7 +74,7 @@
 }
 
 // dial opens a connection; the caller has acquired its place before.
-func (p *pool) dial(ctx context.Context, d *net.Dialer) (*conn, error) {
+func (p *pool) dial(ctx context.Context, dial DialFunc) (*conn, error) {
 	// An idle connection and the one to be opened together must not exceed the bound.
 	p.mu.Lock()
 	var spare *conn
@@ -87,7 +86,7 @@
 	if spare != nil {
 		_ = spare.Close()
 	}
-	c, err := d.DialContext(ctx, "tcp", p.addr.String())
+	c, err := dial(ctx, "tcp", p.addr.String())
 	if err != nil {
 		return nil, err
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -48,18 +48,25 @@
 
 // Sender makes attempts. Make it with New.
 type Sender struct {
-	dialer net.Dialer
+	dial   DialFunc
 	pools  sync.Map // netip.AddrPort to *pool
 	closed chan struct{}
 	once   sync.Once
 }
 
-// New returns a Sender without connections.
-func New() *Sender {
-	return &Sender{
-		dialer: net.Dialer{
+// DialFunc opens a connection, as net.Dialer does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New returns a Sender without connections. A nil dial means a plain net.Dialer.
+func New(dial DialFunc) *Sender {
+	if dial == nil {
+		d := net.Dialer{
 			Timeout: dialTimeout,
-		},
+		}
+		dial = d.DialContext
+	}
+	return &Sender{
+		dial:   dial,
 		closed: make(chan struct{}),
 	}
 }
@@ -88,7 +95,7 @@
 		return nil, NewFault(ReasonOverloaded, http.StatusServiceUnavailable, errors.Wrap(err, "no free connection"))
 	}
 	if c == nil {
-		if c, err = p.dial(ctx, &s.dialer); err != nil {
+		if c, err = p.dial(ctx, s.dial); err != nil {
 			p.release(nil)
 			return nil, NewFault(ReasonUnreachable, http.StatusServiceUnavailable, err)
 		}
