--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -187,11 +187,16 @@
 	fields := make([]sender.Field, 0, 6)
 	fields = append(fields,
 		sender.Field{Name: "Bramleyline-Service", Value: j.Service.Name},
-		sender.Field{Name: "Bramleyline-Slot", Value: strconv.FormatUint(uint64(j.Slot), 10)},
-		sender.Field{Name: "Bramleyline-Epoch", Value: strconv.FormatUint(uint64(j.Route.Epoch), 10)},
 		sender.Field{Name: "Bramleyline-Request", Value: j.Identity},
 		sender.Field{Name: "Bramleyline-Deadline", Value: strconv.FormatInt(max(1, time.Until(j.Deadline).Milliseconds()), 10)},
 	)
+	// A target of a shared service owns no slot, and would refuse a request that names one.
+	if j.Service.Keyed {
+		fields = append(fields,
+			sender.Field{Name: "Bramleyline-Slot", Value: strconv.FormatUint(uint64(j.Slot), 10)},
+			sender.Field{Name: "Bramleyline-Epoch", Value: strconv.FormatUint(uint64(j.Route.Epoch), 10)},
+		)
+	}
 	if j.Caller != "" {
 		fields = append(fields, sender.Field{Name: "Bramleyline-Caller-Request", Value: j.Caller})
 	}
