Add the operators' API, its client and its commands

Cause: operators could check files, but not bring them into force or see the deployment.

Change: operator answers on the operator address (bearer key compared in constant time, limits on size, time, requests and connections), checks a configuration again, proposes it with compare-and-set on the version and gives a resend the first answer. Changes that take service away need force. requester asks one host after the other; presenter has the wire types. commander gets diff, apply, history, show, takeout, restore and status.

Figures: two operators raced 200 times on a fake with compare-and-set, each round had one winner and the loser got its digest, time and operator.

Conclusion: the commands work against fakes; they wait for a host process with real facts.

--- /dev/null
+++ b/checker/bench_test.go
@@ -0,0 +1,15 @@
+package checker
+
+import (
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func BenchmarkCheckExample(b *testing.B) {
+	base, overlays := sources(qt.New(b), filepath.Join("..", "examples", "zbiorka"))
+	for b.Loop() {
+		Checker{}.Check(base, overlays)
+	}
+}
--- a/checker/explain.go
+++ b/checker/explain.go
@@ -99,3 +99,12 @@
 	}
 	return nil
 }
+
+// Any returns the configuration of the first data centre, for what is the same in all of them; nil if there are
+// findings.
+func (r *Report) Any() *configurer.Config {
+	for _, name := range r.DataCentres() {
+		return r.Configs[name]
+	}
+	return nil
+}
--- a/commander/check.go
+++ b/commander/check.go
@@ -42,21 +42,19 @@
 		fmt.Fprintln(c.Stdout, f)
 	}
 	if !report.OK() {
-		return errors.Wrapf(ErrFindings, "configuration has %d", len(report.Findings))
+		return errors.Wrapf(ErrFindings, "findings in the configuration: %d", len(report.Findings))
 	}
 	for _, n := range report.Notes {
 		fmt.Fprintf(c.Stdout, "note: %s\n", n)
 	}
-	var first string
-	for _, name := range report.DataCentres() {
-		first = name
-		if explain {
+	if explain {
+		for _, name := range report.DataCentres() {
 			if err := report.Explain(c.Stdout, name); err != nil {
 				return errors.Wrap(err, "explain")
 			}
 		}
 	}
-	cfg := report.Configs[first]
+	cfg := report.Any()
 	fmt.Fprintf(c.Stdout, "no findings: deployment %s, %d data centres, %d services, digest %s\n", cfg.Deployment,
 		len(cfg.DataCentres), len(cfg.Services), cfg.Digest)
 	return nil
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -34,7 +34,7 @@
 	// ErrNotAvailable reports a command whose function is not part of this build.
 	ErrNotAvailable = errors.New("command is not available in this build")
 	// ErrFindings reports files with findings, which were written before.
-	ErrFindings = errors.New("findings")
+	ErrFindings = errors.New("fix them first")
 )
 
 // Commander runs one command line. A command whose function is nil answers that it is not available.
@@ -123,6 +123,13 @@
 			c.demo(),
 			c.serve(),
 			c.check(),
+			c.diff(),
+			c.apply(),
+			c.history(),
+			c.show(),
+			c.takeout(),
+			c.restore(),
+			c.status(),
 			shell("target", "run an emulated target", "bramleyline target -h"),
 			shell("measure", "run scenarios and write their figures", "bramleyline measure -h"),
 		},
--- a/commander/host.go
+++ b/commander/host.go
@@ -54,7 +54,7 @@
 				for _, f := range findings {
 					fmt.Fprintln(c.Stdout, f)
 				}
-				return errors.Wrapf(ErrFindings, "host settings have %d", len(findings))
+				return errors.Wrapf(ErrFindings, "findings in the host settings: %d", len(findings))
 			}
 			if c.Serve == nil {
 				return errors.Wrap(ErrNotAvailable, "serve")
--- /dev/null
+++ b/commander/remote_test.go
@@ -0,0 +1,299 @@
+package commander
+
+import (
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/checker"
+	"bramleyline.example/bramleyline/fencer"
+	"bramleyline.example/bramleyline/merger"
+	"bramleyline.example/bramleyline/operator"
+)
+
+const zbiorka = "../examples/zbiorka/"
+
+// fakeControl accepts each configuration that expects the version in force, and each takeout.
+type fakeControl struct {
+	mu sync.Mutex
+	st applier.State
+}
+
+func (f *fakeControl) State() *applier.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	st := f.st
+	return &st
+}
+
+func (f *fakeControl) Propose(_ context.Context, cmd applier.Command) (applier.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.st.Index++
+	res := applier.Result{Index: f.st.Index}
+	if set := cmd.SetService; set != nil {
+		f.st.DataCentres = map[string]applier.DataCentre{
+			set.DataCentre: {Out: set.Out, Changed: applier.ServiceChange{Operator: set.Operator, At: set.At}},
+		}
+		return res, nil
+	}
+	put := cmd.PutConfig
+	if put.Expect != f.st.Config.Version {
+		res.Refusal = "another version is in force"
+		if n := int(put.Expect); n < len(f.st.History) {
+			res.Winner = &f.st.History[n]
+		}
+		return res, nil
+	}
+	f.st.Config = applier.StoredConfig{
+		Version: put.Expect + 1, Digest: put.Digest, Operator: put.Operator, At: put.At, Base: put.Base,
+		Overlays: put.Overlays,
+	}
+	f.st.History = append(f.st.History, f.st.Config)
+	return res, nil
+}
+
+// hostFixture is a host with the example as version 1 and a dead host before it in the list.
+type hostFixture struct {
+	c       *qt.C
+	control *fakeControl
+	facts   operator.Facts
+	flags   []string
+	files   []string
+	folders []string
+}
+
+func newHost(t *testing.T) *hostFixture {
+	c := qt.New(t)
+	f := hostFixture{
+		c:       c,
+		control: &fakeControl{},
+	}
+	overlays, err := filepath.Glob(zbiorka + "overlays/*.ini")
+	c.Assert(err, qt.IsNil)
+	f.files = append([]string{zbiorka + "base.ini"}, overlays...)
+	base, sources, err := readSources(f.files)
+	c.Assert(err, qt.IsNil)
+	texts := overlayTexts(sources)
+	f.control.st.Config = applier.StoredConfig{
+		Version: 1, Digest: merger.Digest(base.Text, texts), Operator: "ada", At: time.Unix(1000, 0), Base: base.Text,
+		Overlays: texts,
+	}
+	f.control.st.History = []applier.StoredConfig{f.control.st.Config}
+	o := operator.Operator{
+		Host: "krakow-1", Key: "zbiorka-example-operator-key", Source: f.control, Proposer: f.control,
+		Facts: func(context.Context) operator.Facts { return f.facts },
+		Now:   func() time.Time { return time.Unix(2000, 0) },
+	}
+	live := httptest.NewServer(o.Handler())
+	c.Cleanup(live.Close)
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	f.flags = []string{
+		"-host", dead.Listener.Addr().String() + "," + live.Listener.Addr().String(),
+		"-keyFile", zbiorka + "keys/operator.key", "-operator", "bob", "-waitFor", "1s",
+	}
+	return &f
+}
+
+func (f *hostFixture) run(args ...string) (code int, out, errOut string) {
+	flags := f.flags
+	switch args[0] {
+	case "status", "history", "show", "diff":
+		flags = flags[:4]
+	}
+	return run(Commander{}, append(args, flags...)...)
+}
+
+// edit writes a copy of the example whose base file is changed.
+func (f *hostFixture) edit(from, to string) []string {
+	text, err := os.ReadFile(f.files[0])
+	f.c.Assert(err, qt.IsNil)
+	folder := f.c.TempDir()
+	f.folders = append(f.folders, folder)
+	file := filepath.Join(folder, "base.ini")
+	f.c.Assert(os.WriteFile(file, []byte(strings.Replace(string(text), from, to, 1)), 0o644), qt.IsNil)
+	return append([]string{file}, f.files[1:]...)
+}
+
+// plain leaves out the names of folders that differ between runs.
+func (f *hostFixture) plain(text string) string {
+	for _, folder := range f.folders {
+		text = strings.ReplaceAll(text, folder+string(filepath.Separator), "")
+	}
+	return text
+}
+
+func TestDiff(t *testing.T) {
+	f := newHost(t)
+	_, out, _ := f.run(append([]string{"diff"}, f.files...)...)
+	f.c.Assert(out, qt.Equals, "no difference: version 1 has the same text\n")
+	files := f.edit("moveBudget = 4", "moveBudget = 8\nretryBudget = 0.2")
+	code, out, errOut := f.run(append([]string{"diff"}, files...)...)
+	f.c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	checkGolden(f.c, "diff", f.plain(out))
+	_, out, _ = f.run(append([]string{"diff"}, f.edit("; Running weights", "; The running weights")...)...)
+	f.c.Assert(out, qt.Contains, "only comments")
+}
+
+func TestApplyShowAndHistory(t *testing.T) {
+	f := newHost(t)
+	c := f.c
+	f.facts.Hosts = []operator.HostFacts{
+		{Name: "krakow-1", Reachable: true, ConfigVersion: 2},
+		{Name: "zug-1"},
+	}
+	files := f.edit("moveBudget = 4", "moveBudget = 8")
+	code, out, errOut := f.run(append([]string{"apply", "-expect", "1", "-wait"}, files...)...)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	checkGolden(c, "apply", out)
+	_, history, _ := f.run("history")
+	checkGolden(c, "history", history)
+	// Going back: the old text becomes a new version.
+	folder := c.TempDir()
+	code, _, errOut = f.run("show", "1", "-folder", folder)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	overlays, err := filepath.Glob(filepath.Join(folder, "overlays", "*.ini"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(overlays, qt.HasLen, 4)
+	old := append([]string{"apply", "-expect", "2", filepath.Join(folder, "base.ini")}, overlays...)
+	code, _, errOut = f.run(old...)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	c.Assert(f.control.st.Config.Version, qt.Equals, uint64(3))
+	c.Assert(f.control.st.Config.Digest, qt.Equals, f.control.st.History[0].Digest)
+	// A second write must not overwrite files that the operator may have edited.
+	code, _, _ = f.run("show", "1", "-folder", folder)
+	c.Assert(code, qt.Equals, exitRefused)
+}
+
+// Each refusal names what to do next and has exit code 1.
+func TestRefusals(t *testing.T) {
+	f := newHost(t)
+	c := f.c
+	f.facts.Hosts = []operator.HostFacts{{Name: "krakow-2", Reachable: true, ConfigVersion: 1}, {Name: "zug-1"}}
+	var all strings.Builder
+	for _, args := range [][]string{
+		append([]string{"apply", "-expect", "0"}, f.edit("moveBudget = 4", "moveBudget = 8")...),
+		append([]string{"apply", "-expect", "7"}, f.files...),
+		append([]string{"apply", "-expect", "1"}, f.edit("slots = 1024", "slots = 512")...),
+		append([]string{"apply", "-expect", "1"}, f.edit("kind = keyed", "kind = kezed")...),
+		append([]string{"apply", "-expect", "1", "-wait"}, f.edit("moveBudget = 4", "moveBudget = 8")...),
+		{"takeout", "dc", "atlantis"},
+		{"takeout", "target", "tally-1"},
+		{"show", "9"},
+		{"status", "key", "payroll", "x"},
+		{"status", "key", "nothing", "x"},
+	} {
+		code, out, errOut := f.run(args...)
+		c.Assert(code, qt.Equals, exitRefused, qt.Commentf("%v: %s %s", args, out, errOut))
+		all.WriteString("$ " + args[0] + "\n" + f.plain(out) + errOut)
+	}
+	checkGolden(c, "refusals", all.String())
+}
+
+func TestWrongUsageOfRemoteCommands(t *testing.T) {
+	f := newHost(t)
+	for _, args := range [][]string{
+		append([]string{"apply"}, f.files...),
+		{"apply", "-expect", "1"},
+		{"takeout", "dc"},
+		{"takeout", "host", "krakow-1"},
+		{"restore"},
+		{"show"},
+		{"show", "one"},
+		{"status", "keys"},
+		{"history", "all"},
+	} {
+		code, _, errOut := f.run(args...)
+		f.c.Assert(code, qt.Equals, exitUsage, qt.Commentf("%v: %s", args, errOut))
+	}
+	code, _, _ := run(Commander{}, "status")
+	f.c.Assert(code, qt.Equals, exitUsage)
+	code, _, _ = run(Commander{}, "status", "-host", "localhost:1")
+	f.c.Assert(code, qt.Equals, exitUsage)
+}
+
+// An operator must see at once that no host answered, not an empty status.
+func TestNoHostCouldBeReached(t *testing.T) {
+	f := newHost(t)
+	dead := strings.Split(f.flags[1], ",")[0]
+	code, out, errOut := run(Commander{}, "status", "-host", dead, "-keyFile", f.flags[3])
+	f.c.Assert(code, qt.Equals, exitRefused)
+	f.c.Assert(out, qt.Equals, "")
+	f.c.Assert(strings.ReplaceAll(errOut, dead, "HOST"), qt.Equals,
+		"no host could be reached: HOST: connect: connection refused\n")
+}
+
+func TestStatus(t *testing.T) {
+	f := newHost(t)
+	c := f.c
+	f.fill()
+	code, out, errOut := f.run("status")
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	checkGolden(c, "status", out)
+	_, out, _ = f.run("status", "-json")
+	checkGolden(c, "statusJson", out)
+	_, out, _ = f.run("status", "key", "tally", "picker-1")
+	checkGolden(c, "statusKey", out)
+	_, out, _ = f.run("status", "key", "tally", "hot-picker", "-json")
+	checkGolden(c, "statusKeyJson", out)
+}
+
+// fill gives the host a state with each kind of alarm.
+func (f *hostFixture) fill() {
+	st := &f.control.st
+	st.Index = 42
+	st.Voters = []string{"krakow-1", "krakow-2"}
+	st.Hosts = map[string]applier.Host{"bielsko-2": {Name: "bielsko-2", DataCentre: "bielsko"}}
+	change := applier.ServiceChange{Operator: "ada", At: time.Unix(1500, 0)}
+	st.DataCentres = map[string]applier.DataCentre{
+		"krakow":  {Authority: "krakow-1", InSync: map[string]uint64{"krakow-1": 1, "krakow-2": 1}},
+		"bielsko": {Authority: "bielsko-1", InSync: map[string]uint64{"bielsko-1": 1}, Out: true, Changed: change},
+	}
+	st.TargetsOut = map[string]applier.ServiceChange{"tally-9": change}
+	entries := make([]applier.SlotEntry, 1024)
+	for i := range entries[:1000] {
+		entries[i] = applier.SlotEntry{DataCentre: "krakow", Target: "tally-1", Epoch: fencer.NewEpoch(7, 3)}
+	}
+	st.Slots = map[string]*applier.SlotTable{
+		"tally": {Entries: entries, HotKeys: map[string]applier.SlotEntry{
+			"hot-picker": {DataCentre: "bielsko", Target: "tally-2", Epoch: fencer.NewEpoch(9, 1)},
+		}},
+	}
+	f.facts = operator.Facts{
+		Hosts: []operator.HostFacts{
+			{Name: "krakow-1", DataCentre: "krakow", Reachable: true, ConfigVersion: 1, ConfigAge: time.Hour, Index: 42},
+			{Name: "krakow-2", DataCentre: "krakow", Reachable: true, HeardAgo: 80 * time.Millisecond},
+			{Name: "bielsko-1", DataCentre: "bielsko", Reachable: true, ConfigVersion: 1, ConfigAge: time.Minute, Index: 42},
+		},
+		Targets: []operator.TargetFacts{
+			{Name: "tally-1", Service: "tally", DataCentre: "krakow", Host: "krakow-1", State: "warm", InFlight: 3},
+			{Name: "tally-2", Service: "tally", DataCentre: "bielsko", Host: "bielsko-1", State: "warm"},
+			{Name: "tally-3", Service: "tally", DataCentre: "krakow", Host: "krakow-2", State: "lost", HeardAgo: time.Minute},
+		},
+		Leases: []operator.LeaseFacts{
+			{Kind: "hold", Holder: "bielsko-1", DataCentre: "bielsko", Service: "tally", Remaining: 40 * time.Minute},
+			{Kind: "authority", Holder: "krakow-1", DataCentre: "krakow", Remaining: 700 * time.Millisecond},
+		},
+		Violations: 1,
+	}
+}
+
+// The status of a deployment whose configuration this program cannot read must still be shown.
+func TestStoredConfigurationOfANewerProgram(t *testing.T) {
+	f := newHost(t)
+	f.control.st.Config.Base += "\n[newSection]\n"
+	code, out, _ := f.run("status")
+	f.c.Assert(code, qt.Equals, exitOK)
+	f.c.Assert(out, qt.Contains, "ALARM configurationUnreadable")
+	_, err := checker.Stored(&f.control.st.Config, "krakow")
+	f.c.Assert(err, qt.ErrorMatches, "configuration version 1 has 1 findings, .*")
+}
--- /dev/null
+++ b/operator/apply.go
@@ -0,0 +1,200 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"unicode"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/checker"
+	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/merger"
+	"bramleyline.example/bramleyline/presenter"
+)
+
+// maxOperatorBytes bounds the name that an operator gives, which is kept with each version.
+const maxOperatorBytes = 64
+
+// statusCodes are the HTTP codes of outcomes.
+var statusCodes = map[presenter.Outcome]int{
+	presenter.Applied:    http.StatusOK,
+	presenter.Already:    http.StatusOK,
+	presenter.Invalid:    http.StatusUnprocessableEntity,
+	presenter.LostRace:   http.StatusConflict,
+	presenter.NeedsForce: http.StatusPreconditionRequired,
+	presenter.Refused:    http.StatusConflict,
+	presenter.Unknown:    http.StatusServiceUnavailable,
+}
+
+func (o *Operator) answer(w http.ResponseWriter, a presenter.Answer) {
+	counters.Add(string(a.Outcome), 1)
+	writeAnswer(w, statusCodes[a.Outcome], a)
+}
+
+func (o *Operator) apply(w http.ResponseWriter, r *http.Request) {
+	var req presenter.Apply
+	if !readJSON(w, r, &req) {
+		return
+	}
+	o.answer(w, o.applyConfig(r.Context(), &req))
+}
+
+// applyConfig checks the text again, because the command line may be older than the host, and proposes it.
+func (o *Operator) applyConfig(ctx context.Context, req *presenter.Apply) presenter.Answer {
+	if !validOperator(req.Operator) {
+		return refused("operator needs a name of at most %d printable characters", maxOperatorBytes)
+	}
+	st := o.state()
+	digest := merger.Digest(req.Base, req.Overlays)
+	// A resend after a lost answer gets the first answer, also when later versions were accepted since then.
+	if v, ok := versionOf(st, req.Expect+1); ok && v.Digest == digest {
+		return applied(&v, st.Index)
+	}
+	report := checker.Checker{
+		InForce: servicesInForce(st),
+	}.CheckTexts(req.Base, req.Overlays)
+	if !report.OK() {
+		a := presenter.Answer{
+			Outcome: presenter.Invalid,
+			Message: fmt.Sprintf("findings in the configuration: %d", len(report.Findings)),
+		}
+		for _, f := range report.Findings {
+			a.Findings = append(a.Findings, f.String())
+		}
+		return a
+	}
+	if !req.Force {
+		if losses := o.losses(ctx, st, &report); len(losses) > 0 {
+			return presenter.Answer{
+				Outcome:  presenter.NeedsForce,
+				Message:  "the change takes service away; send it with -force if that is meant",
+				Findings: losses,
+			}
+		}
+	}
+	return o.proposeConfig(ctx, req, digest)
+}
+
+func (o *Operator) proposeConfig(ctx context.Context, req *presenter.Apply, digest string) presenter.Answer {
+	at := o.now().UTC()
+	res, err := o.propose(ctx, applier.Command{
+		// No RequestID: the compare-and-set on the version makes the command idempotent, and a remembered refusal
+		// would outlive its reason.
+		PutConfig: &applier.PutConfigMsg{
+			Expect:   req.Expect,
+			Digest:   digest,
+			Operator: req.Operator,
+			At:       at,
+			Base:     req.Base,
+			Overlays: req.Overlays,
+		},
+	})
+	switch {
+	case err != nil:
+		return unknown(err)
+	case res.Refusal == "" && res.Winner == nil:
+		return applied(&applier.StoredConfig{
+			Version:  req.Expect + 1,
+			Digest:   digest,
+			Operator: req.Operator,
+			At:       at,
+		}, res.Index)
+	case res.Winner != nil && res.Winner.Digest == digest:
+		return applied(res.Winner, res.Index)
+	case res.Winner != nil:
+		return presenter.Answer{
+			Outcome: presenter.LostRace,
+			Message: fmt.Sprintf("version %d was accepted before: digest %s from %s at %s; look at it with show %d, make "+
+				"the change on top of the version in force and send it with -expect %d", res.Winner.Version, res.Winner.Digest,
+				res.Winner.Operator, formatTime(res.Winner.At), res.Winner.Version,
+				max(res.Winner.Version, o.state().Config.Version)),
+			Version: wireVersion(res.Winner, false),
+		}
+	}
+	return refused("%s; version %d is in force", res.Refusal, o.state().Config.Version)
+}
+
+func (o *Operator) propose(ctx context.Context, cmd applier.Command) (applier.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	res, err := o.Proposer.Propose(ctx, cmd)
+	if err != nil {
+		counters.Add("proposeErrors", 1)
+	}
+	return res, err
+}
+
+func applied(v *applier.StoredConfig, index uint64) presenter.Answer {
+	return presenter.Answer{
+		Outcome: presenter.Applied,
+		Message: fmt.Sprintf("version %d is accepted: digest %s from %s at %s", v.Version, v.Digest, v.Operator,
+			formatTime(v.At)),
+		Version: wireVersion(v, false),
+		Index:   index,
+	}
+}
+
+func refused(format string, args ...any) presenter.Answer {
+	return presenter.Answer{
+		Outcome: presenter.Refused,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
+
+// unknown answers a proposal without a result. It may still be accepted, so the operator sends the same request again.
+func unknown(err error) presenter.Answer {
+	return presenter.Answer{
+		Outcome: presenter.Unknown,
+		Message: fmt.Sprintf("no answer from the control leader: %v; the change may still be accepted, send the same "+
+			"command again", err),
+	}
+}
+
+func validOperator(name string) bool {
+	return name != "" && len(name) <= maxOperatorBytes &&
+		!strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) })
+}
+
+func versionOf(st *applier.State, version uint64) (applier.StoredConfig, bool) {
+	if version != 0 && st.Config.Version == version {
+		return st.Config, true
+	}
+	i := slices.IndexFunc(st.History, func(v applier.StoredConfig) bool { return v.Version == version })
+	if i < 0 {
+		return applier.StoredConfig{}, false
+	}
+	return st.History[i], true
+}
+
+// servicesInForce returns the services of the configuration in force, and those of slot tables that remain of services
+// that were removed: a service that comes back must fit its table.
+func servicesInForce(st *applier.State) []configurer.Service {
+	var services []configurer.Service
+	if cfg := configOf(st); cfg != nil {
+		services = slices.Clone(cfg.Services)
+	}
+	for name, table := range st.Slots {
+		known := slices.ContainsFunc(services, func(s configurer.Service) bool { return s.Name == name })
+		if !known && table != nil {
+			services = append(services, configurer.Service{
+				Name:  name,
+				Keyed: true,
+				Slots: len(table.Entries),
+			})
+		}
+	}
+	return services
+}
+
+// configOf returns the configuration in force of the first data centre, nil if there is none. What it is used for is
+// the same in all data centres.
+func configOf(st *applier.State) *configurer.Config {
+	if st.Config.Version == 0 {
+		return nil
+	}
+	report := checker.Checker{}.CheckTexts(st.Config.Base, st.Config.Overlays)
+	return report.Any()
+}
--- /dev/null
+++ b/operator/apply_test.go
@@ -0,0 +1,137 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/presenter"
+)
+
+const configurations = "/v1/configurations"
+
+// Two operators who submit under the same number must not both believe that theirs is in force.
+func TestTwoOperatorsRace(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	for round := range 200 {
+		expect := uint64(round) + 1
+		var wg sync.WaitGroup
+		answers := make([]presenter.Answer, 2)
+		for i := range answers {
+			change := f.change(expect, fmt.Sprintf("operator-%d", i), fmt.Sprint(2*round+i+100))
+			wg.Go(func() { answers[i] = f.o.applyConfig(t.Context(), &change) })
+		}
+		wg.Wait()
+		outcomes := []presenter.Outcome{answers[0].Outcome, answers[1].Outcome}
+		c.Assert(outcomes, qt.Contains, presenter.Applied)
+		c.Assert(outcomes, qt.Contains, presenter.LostRace)
+		inForce := f.control.State().Config
+		c.Assert(inForce.Version, qt.Equals, expect+1)
+		for i, a := range answers {
+			// Both are told the winner's digest, time and operator.
+			c.Assert(a.Version.Digest, qt.Equals, inForce.Digest)
+			c.Assert(a.Version.Operator, qt.Equals, inForce.Operator)
+			c.Assert(a.Version.At, qt.Equals, inForce.At)
+			won := inForce.Operator == fmt.Sprintf("operator-%d", i)
+			c.Assert(a.Outcome == presenter.Applied, qt.Equals, won)
+		}
+	}
+}
+
+// A resend after a lost answer must get the first answer and make no second version, also when others went on since.
+func TestResendAfterLostAnswer(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	first := f.change(1, "ada", "40")
+	f.control.lose = 1
+	code, a := f.post(configurations, first)
+	c.Assert(code, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(a.Outcome, qt.Equals, presenter.Unknown)
+	code, a = f.post(configurations, first)
+	c.Assert(code, qt.Equals, http.StatusOK)
+	c.Assert(a.Version.Version, qt.Equals, uint64(2))
+	_, a = f.post(configurations, f.change(2, "bob", "41"))
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	_, again := f.post(configurations, first)
+	c.Assert(again.Outcome, qt.Equals, presenter.Applied)
+	c.Assert(again.Version.Version, qt.Equals, uint64(2))
+	c.Assert(again.Version.Operator, qt.Equals, "ada")
+	c.Assert(f.control.State().Config.Version, qt.Equals, uint64(3))
+}
+
+// A host whose state is behind the leader's must still tell the first answer.
+func TestResendOnHostThatIsBehind(t *testing.T) {
+	f := newFixture(t)
+	behind := &fakeControl{st: f.control.State()}
+	first := f.change(1, "ada", "40")
+	_, a := f.post(configurations, first)
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	f.o.Source = behind
+	_, a = f.post(configurations, first)
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	f.c.Assert(a.Version.Version, qt.Equals, uint64(2))
+}
+
+// The command line may be older than the host, so the host checks the text again.
+func TestApplyChecksOnTheHost(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	code, a := f.post(configurations, f.change(1, "ada", "0"))
+	c.Assert(code, qt.Equals, http.StatusUnprocessableEntity)
+	c.Assert(a.Findings, qt.DeepEquals, []string{
+		"base.ini:47: queueLimit = 0: a limit of zero is not allowed, wants 1 to 100000",
+	})
+	change := f.change(1, "ada", "32")
+	change.Base = strings.Replace(change.Base, "slots = 1024", "slots = 512", 1)
+	_, a = f.post(configurations, change)
+	c.Assert(a.Outcome, qt.Equals, presenter.Invalid)
+	change = f.change(1, "", "32")
+	_, a = f.post(configurations, change)
+	c.Assert(a.Outcome, qt.Equals, presenter.Refused)
+	c.Assert(f.control.State().Config.Version, qt.Equals, uint64(1))
+}
+
+// A service that was removed and comes back with other slots would not fit its slot table.
+func TestRemovedServiceKeepsItsSlots(t *testing.T) {
+	f := newFixture(t)
+	st := *f.control.st
+	st.Slots = map[string]*applier.SlotTable{
+		"baskets": {Entries: make([]applier.SlotEntry, 64)},
+	}
+	f.control.st = &st
+	change := f.change(1, "ada", "32")
+	change.Base += "\n[service baskets]\nkind = keyed\nkey = path:1\nslots = 128\n"
+	_, a := f.post(configurations, change)
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Invalid)
+	change.Base = strings.Replace(change.Base, "slots = 128", "slots = 64", 1)
+	_, a = f.post(configurations, change)
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	_, ok := st.Slots["baskets"].Entry(keyer.Slot(63))
+	f.c.Assert(ok, qt.IsTrue)
+}
+
+func TestApplyThatTakesServiceAwayNeedsForce(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	noPayroll := f.change(1, "ada", "32")
+	noPayroll.Base = noPayroll.Base[:strings.Index(noPayroll.Base, "; Pay slips")]
+	noPayroll.Overlays = nil
+	noKrakow := f.change(1, "ada", "32")
+	noKrakow.Base = strings.Replace(noKrakow.Base, "[dataCentre krakow]\n", "", 1)
+	noKrakow.Overlays = nil
+	for _, change := range []presenter.Apply{noPayroll, noKrakow} {
+		code, a := f.post(configurations, change)
+		c.Assert(code, qt.Equals, http.StatusPreconditionRequired)
+		c.Assert(a.Findings, qt.HasLen, 1, qt.Commentf("%v", a))
+	}
+	noKrakow.Force = true
+	_, a := f.post(configurations, noKrakow)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+}
--- /dev/null
+++ b/operator/service_test.go
@@ -0,0 +1,132 @@
+package operator
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/presenter"
+)
+
+const service = "/v1/service"
+
+func TestTakeoutAndRestore(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	out := presenter.SetService{DataCentre: "katowice", Out: true, Operator: "ada", Request: "r1"}
+	_, a := f.post(service, out)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	c.Assert(a.Index, qt.Equals, uint64(11))
+	// The same request again keeps its answer, another one says that it is out already.
+	_, a = f.post(service, out)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	c.Assert(a.Index, qt.Equals, uint64(11))
+	out.Request = "r2"
+	out.Operator = "bob"
+	_, a = f.post(service, out)
+	c.Assert(a.Outcome, qt.Equals, presenter.Already)
+	c.Assert(a.Message, qt.Equals, "data centre katowice is out already, by ada since 1970-01-01T00:33:20Z")
+	_, a = f.post(service, presenter.SetService{DataCentre: "katowice", Operator: "bob", Request: "r3"})
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	c.Assert(f.control.State().DataCentres["katowice"].Out, qt.IsFalse)
+}
+
+// A slip of the hand must not take the last data centre or the last target of a service out.
+func TestTakeoutOfTheLastNeedsForce(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	for _, dc := range []string{"katowice", "rzeszow", "bielsko"} {
+		_, a := f.post(service, presenter.SetService{DataCentre: dc, Out: true, Operator: "ada", Request: dc})
+		c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	}
+	last := presenter.SetService{DataCentre: "krakow", Out: true, Operator: "ada", Request: "last"}
+	code, a := f.post(service, last)
+	c.Assert(code, qt.Equals, http.StatusPreconditionRequired)
+	c.Assert(a.Findings, qt.DeepEquals, []string{"data centre krakow is the last one in service"})
+	target := presenter.SetService{Target: "tally-1", Out: true, Operator: "ada", Request: "target"}
+	_, a = f.post(service, target)
+	c.Assert(a.Findings, qt.DeepEquals, []string{"service tally is left without targets"})
+	target.Force = true
+	_, a = f.post(service, target)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	last.Force = true
+	_, a = f.post(service, last)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+}
+
+func TestTakeoutOfUnknownNames(t *testing.T) {
+	f := newFixture(t)
+	for _, req := range []presenter.SetService{
+		{DataCentre: "atlantis", Out: true, Operator: "ada", Request: "r"},
+		{Target: "tally-99", Out: true, Operator: "ada", Request: "r"},
+		{DataCentre: "krakow", Target: "tally-1", Out: true, Operator: "ada", Request: "r"},
+		{Out: true, Operator: "ada", Request: "r"},
+		{DataCentre: "krakow", Out: true, Operator: "ada"},
+		{DataCentre: "krakow", Out: true, Operator: "a\nb", Request: "r"},
+	} {
+		_, a := f.post(service, req)
+		f.c.Assert(a.Outcome, qt.Equals, presenter.Refused)
+	}
+	f.c.Assert(f.control.State().Index, qt.Equals, uint64(10))
+}
+
+func TestOnlyTheKeyOpensTheAPI(t *testing.T) {
+	f := newFixture(t)
+	for _, path := range []string{"/", "/v1/status", "/v1/history", "/v1/configurations/1", "/debug/vars"} {
+		for _, header := range []string{"", "Bearer ", "Bearer wrong", "Basic b3A6d3Jvbmc="} {
+			req := httptest.NewRequest(http.MethodGet, path, nil)
+			req.Header.Set("Authorization", header)
+			rec := httptest.NewRecorder()
+			f.handler.ServeHTTP(rec, req)
+			f.c.Assert(rec.Code, qt.Equals, http.StatusUnauthorized, qt.Commentf("%s %q", path, header))
+		}
+		rec := f.do(httptest.NewRequest(http.MethodGet, path, nil))
+		f.c.Assert(rec.Code, qt.Equals, http.StatusOK)
+		f.c.Assert(strings.Contains(rec.Body.String(), testKey), qt.IsFalse)
+	}
+}
+
+// An Operator without a key must not accept an empty one.
+func TestNoKeyOpensNothing(t *testing.T) {
+	f := newFixture(t)
+	f.o.Key = ""
+	req := httptest.NewRequest(http.MethodGet, "/v1/status", nil)
+	req.Header.Set("Authorization", "Bearer ")
+	rec := httptest.NewRecorder()
+	f.o.Handler().ServeHTTP(rec, req)
+	f.c.Assert(rec.Code, qt.Equals, http.StatusUnauthorized)
+}
+
+func TestRequestsAreBounded(t *testing.T) {
+	f := newFixture(t)
+	for _, test := range []struct {
+		body, contentType string
+		want              int
+	}{
+		{body: strings.Repeat("x", maxBody+1), contentType: jsonType, want: http.StatusBadRequest},
+		{body: `{"base": "` + strings.Repeat("x", maxBody) + `"}`, contentType: jsonType, want: http.StatusBadRequest},
+		{body: `{"forse": true}`, contentType: jsonType, want: http.StatusBadRequest},
+		{body: `{}`, contentType: "text/plain", want: http.StatusUnsupportedMediaType},
+	} {
+		req := httptest.NewRequest(http.MethodPost, configurations, strings.NewReader(test.body))
+		req.Header.Set("Content-Type", test.contentType)
+		f.c.Assert(f.do(req).Code, qt.Equals, test.want)
+	}
+}
+
+func TestReadinessNeedsNoKey(t *testing.T) {
+	f := newFixture(t)
+	get := func(path string) int {
+		rec := httptest.NewRecorder()
+		f.handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, path, nil))
+		return rec.Code
+	}
+	f.c.Assert(get("/v1/ready"), qt.Equals, http.StatusOK)
+	f.o.Ready = func() error { return errors.New("no configuration yet") }
+	f.c.Assert(get("/v1/ready"), qt.Equals, http.StatusServiceUnavailable)
+	f.c.Assert(get("/v1/live"), qt.Equals, http.StatusOK)
+}
