Add the experimenter with a baseline router

Cause: policies have to be compared by the same figures under the same faults, and the bench has to show that it finds faults.

Change: package experimenter runs a scenario with 28 emulated targets, callers and a network of 4 data centres against a Cluster, audits it, prints a table and writes JSON and SVG plots. A stand-in router that hashes keys over the targets it hears of, with three retries and no leases, is the baseline. Targets dial through the network, and skip the cold start only in their first incarnation.

Conclusion: the baseline breaks what the router has to keep, and the bench reports it.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -40,6 +40,7 @@
 	findings = append(findings, auditOwners(e)...)
 	findings = append(findings, auditCold(e.Runs)...)
 	findings = append(findings, a.auditEvents(e)...)
+	e.Runs = slices.DeleteFunc(slices.Clone(e.Runs), func(r emulator.Run) bool { return r.Started.Before(e.From) })
 	return Report{
 		Findings: findings,
 		Numbers:  count(e, byAttempt),
--- a/auditor/evidence.go
+++ b/auditor/evidence.go
@@ -14,6 +14,8 @@
 	Runs     []emulator.Run
 	Holdings []emulator.Holding
 	Events   []Event
+	// From is the start of the measured time. Runs before it count for the invariants, but not for the figures.
+	From time.Time
 	// Targets has the names of the targets of each service, so that those without work count for the imbalance.
 	Targets map[string][]string
 	// Keyed has the keyed services.
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -116,7 +116,7 @@
 		releasing: make(map[keyer.Slot]bool),
 		released:  make(map[keyer.Slot]bool),
 		busy:      make(map[keyer.Slot]int),
-		cold:      !e.opts.Warm,
+		cold:      !e.opts.Warm || e.Crashes() > 0,
 		coldSince: now,
 		// A target that restarts bears no more before its first heartbeat than after it.
 		coldAnswers: coldNotice,
--- a/emulator/heartbeat.go
+++ b/emulator/heartbeat.go
@@ -75,6 +75,7 @@
 		return
 	}
 	transport := &http.Transport{
+		DialContext:         l.e.opts.Dial,
 		MaxIdleConnsPerHost: 2,
 	}
 	defer transport.CloseIdleConnections()
--- a/emulator/options.go
+++ b/emulator/options.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"context"
 	"flag"
+	"net"
 	"net/netip"
 	"strings"
 	"time"
@@ -25,6 +27,8 @@
 	Control netip.AddrPort
 	// Announce are the announce addresses of the hosts of the data centre, tried in turn.
 	Announce []netip.AddrPort
+	// Dial replaces the dialer of heartbeats, to put a network in between.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Heartbeat is the interval between heartbeats; zero means 150 ms.
 	Heartbeat time.Duration
 	// Seed makes service times repeatable.
@@ -43,7 +47,7 @@
 	// not again before the request takes effect.
 	IgnoresEpoch bool
 
-	// Warm skips the cold start. A cold target bears ColdInFlight requests in progress, and one more for each ColdStep
+	// Warm skips the cold start of the first incarnation. A cold target bears ColdInFlight requests in progress, and one more for each ColdStep
 	// requests that it finished; it is warm after ColdRequests requests or after ColdTime. One request too many makes
 	// it crash. Zero means 1, 20 and 60, the defaults of a service's allowance, and a ColdTime without end.
 	Warm         bool
--- /dev/null
+++ b/experimenter/baselinehost.go
@@ -0,0 +1,287 @@
+package experimenter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/keyer"
+)
+
+const (
+	probeTimeout = time.Second
+	// baselineSilence is the time without a heartbeat after which the baseline believes a target lost.
+	baselineSilence = time.Second
+	baselineTries   = 4
+	baselineTimeout = 2 * time.Second
+)
+
+// relayed marks a heartbeat that another host passes on.
+const relayed = "Bench-Relayed"
+
+type baselineTarget struct {
+	name       string
+	service    string
+	dataCentre string
+	address    string
+	heard      time.Time
+	draining   bool
+}
+
+// baselineHost is one host of the baseline. Each has its own view of the targets.
+type baselineHost struct {
+	b          *baseline
+	name       string
+	dataCentre string
+	entry      netip.AddrPort
+	announce   netip.AddrPort
+	ready      atomic.Bool
+	turn       atomic.Uint64
+
+	mu      sync.Mutex
+	servers []*http.Server
+	client  *http.Client
+	targets map[string]baselineTarget
+	out     map[string]bool
+	keyers  map[string]keyer.Keyer
+}
+
+func newBaselineHost(b *baseline, dataCentre, name string) *baselineHost {
+	h := &baselineHost{
+		b:          b,
+		name:       name,
+		dataCentre: dataCentre,
+		keyers:     make(map[string]keyer.Keyer),
+	}
+	for _, s := range b.setup.Services {
+		if k, err := keyer.New(s.KeySource, s.Slots); err == nil && s.Keyed {
+			h.keyers[s.Name] = k
+		}
+	}
+	return h
+}
+
+// reserve picks the addresses, which stay the same when the host starts again.
+func (h *baselineHost) reserve() error {
+	for _, addr := range []*netip.AddrPort{&h.entry, &h.announce} {
+		ln, err := listenAgain(netip.MustParseAddrPort("127.0.0.1:0"))
+		if err != nil {
+			return err
+		}
+		*addr = ln.Addr().(*net.TCPAddr).AddrPort()
+		h.b.setup.Network.Name(*addr, h.name)
+		if err := ln.Close(); err != nil {
+			return errors.Wrap(err, "baseline host")
+		}
+	}
+	return nil
+}
+
+func (h *baselineHost) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.servers) > 0 {
+		return nil
+	}
+	h.targets = make(map[string]baselineTarget)
+	h.out = make(map[string]bool)
+	h.client = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         h.b.setup.Network.Dialer(h.name),
+			MaxIdleConnsPerHost: 100,
+		},
+		Timeout: baselineTimeout,
+	}
+	control := http.NewServeMux()
+	control.HandleFunc("POST /v1/heartbeat", h.heartbeat)
+	control.HandleFunc("POST /v1/out", func(_ http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.out[r.URL.Query().Get("name")] = r.URL.Query().Get("out") == "true"
+	})
+	for addr, handler := range map[netip.AddrPort]http.Handler{h.entry: h, h.announce: control} {
+		ln, err := listenAgain(addr)
+		if err != nil {
+			return err
+		}
+		srv := &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: 10 * time.Second,
+		}
+		h.servers = append(h.servers, srv)
+		go func() { _ = srv.Serve(ln) }()
+	}
+	h.ready.Store(true)
+	return nil
+}
+
+func (h *baselineHost) take() ([]*http.Server, *http.Client) {
+	h.ready.Store(false)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	servers := h.servers
+	h.servers = nil
+	return servers, h.client
+}
+
+func (h *baselineHost) kill() {
+	servers, client := h.take()
+	for _, srv := range servers {
+		_ = srv.Close()
+	}
+	if client != nil {
+		client.CloseIdleConnections()
+	}
+}
+
+// stop waits for the balancer to see the host's readiness, and then for the requests in progress.
+func (h *baselineHost) stop(ctx context.Context) error {
+	servers, client := h.take()
+	time.Sleep(time.Second)
+	var first error
+	for _, srv := range servers {
+		if err := srv.Shutdown(ctx); err != nil && first == nil {
+			first = errors.Wrapf(err, "stop of %s", h.name)
+		}
+	}
+	client.CloseIdleConnections()
+	return first
+}
+
+// heartbeat notes a target and passes the heartbeat on to all other hosts.
+func (h *baselineHost) heartbeat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	var hb struct {
+		Name       string `json:"name"`
+		Service    string `json:"service"`
+		DataCentre string `json:"dataCentre"`
+		Address    string `json:"address"`
+		State      string `json:"state"`
+	}
+	if err != nil || json.Unmarshal(body, &hb) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h.mu.Lock()
+	h.targets[hb.Name] = baselineTarget{
+		name:       hb.Name,
+		service:    hb.Service,
+		dataCentre: hb.DataCentre,
+		address:    hb.Address,
+		heard:      time.Now(),
+		draining:   hb.State == "draining",
+	}
+	h.mu.Unlock()
+	if r.Header.Get(relayed) == "" {
+		for _, other := range h.b.hosts {
+			if other != h {
+				go h.relay(other.announce, body)
+			}
+		}
+	}
+	_, _ = w.Write([]byte(`{"leaseMs":1000,"owned":[],"releasing":[]}`))
+}
+
+func (h *baselineHost) relay(to netip.AddrPort, body []byte) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+to.String()+"/v1/heartbeat", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set(relayed, "yes")
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
+// pool returns the targets of a service that the host believes alive, by name.
+func (h *baselineHost) pool(service string) []baselineTarget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var pool []baselineTarget
+	for _, t := range h.targets {
+		if t.service == service && !t.draining && time.Since(t.heard) < baselineSilence && !h.out[t.name] &&
+			!h.out[t.dataCentre] {
+			pool = append(pool, t)
+		}
+	}
+	slices.SortFunc(pool, func(a, b baselineTarget) int { return strings.Compare(a.name, b.name) })
+	return pool
+}
+
+// ServeHTTP sends a caller's request to a target, and up to three times more if that fails, whatever its method.
+func (h *baselineHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	body, err := io.ReadAll(io.LimitReader(r.Body, 8<<20))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.URL.Path = "/" + rest
+	for try := 1; ; try++ {
+		target, ok := h.choose(service, r)
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		resp, answer, err := h.send(r, target, body)
+		if (err != nil || resp.StatusCode >= 400) && try < baselineTries && r.Context().Err() == nil {
+			continue
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		for name, values := range resp.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(resp.StatusCode)
+		_, _ = w.Write(answer)
+		return
+	}
+}
+
+func (h *baselineHost) choose(service string, r *http.Request) (baselineTarget, bool) {
+	pool := h.pool(service)
+	if len(pool) == 0 {
+		return baselineTarget{}, false
+	}
+	n := h.turn.Add(1)
+	if k, ok := h.keyers[service]; ok {
+		key, err := k.Key(r)
+		if err != nil {
+			return baselineTarget{}, false
+		}
+		n = xxhash.Sum64String(key)
+	}
+	return pool[n%uint64(len(pool))], true
+}
+
+func (h *baselineHost) send(r *http.Request, t baselineTarget, body []byte) (*http.Response, []byte, error) {
+	u := "http://" + t.address + r.URL.RequestURI()
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "baseline request")
+	}
+	req.Header = r.Header.Clone()
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "baseline request")
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, answer, errors.Wrap(err, "baseline answer")
+}
--- /dev/null
+++ b/experimenter/cluster.go
@@ -0,0 +1,98 @@
+package experimenter
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/injector"
+)
+
+// Cluster is the system under test: its entry and control hosts. Hosts are named DATACENTRE/NUMBER.
+type Cluster interface {
+	// Start starts all hosts. The experimenter itself waits until callers are served.
+	Start(ctx context.Context) error
+	// Close ends all hosts.
+	Close() error
+	// Hosts lists all hosts, running or not. Their addresses never change.
+	Hosts() []Host
+	// Leader names the host that leads the control group; empty if the system has none.
+	Leader() string
+	// Ready is what the platform's balancer asks of a host.
+	Ready(ctx context.Context, host string) bool
+
+	StartHost(ctx context.Context, host string) error
+	// StopHost is a planned stop; KillHost is a loss of the process.
+	StopHost(ctx context.Context, host string) error
+	KillHost(host string) error
+	// PauseHost stops a host's process without closing anything, or lets it go on.
+	PauseHost(host string, paused bool) error
+
+	// Takeout takes a data centre or a target out, exactly one of them named, and Restore brings it back. They return
+	// when the system has accepted the change.
+	Takeout(ctx context.Context, dataCentre, target string) error
+	Restore(ctx context.Context, dataCentre, target string) error
+	// Apply submits a configuration that differs from others by variant, if expect is the version in force. It returns
+	// the version accepted under this content; ErrConflict if another one won.
+	Apply(ctx context.Context, expect uint64, variant int) (uint64, error)
+	// Versions returns the version in force at each running host.
+	Versions(ctx context.Context) map[string]uint64
+	// Violations counts the invariants that the program itself found broken.
+	Violations() int64
+}
+
+// Host is one host of a Cluster.
+type Host struct {
+	Name       string
+	DataCentre string
+	Control    bool
+	Entry      netip.AddrPort
+	Announce   netip.AddrPort
+}
+
+// Setup is what a Cluster is made of.
+type Setup struct {
+	Deployment  string
+	DataCentres []string
+	// HostsEach is the number of hosts of each data centre.
+	HostsEach int
+	Services  []configurer.Service
+	// Token is the targets' bearer token.
+	Token string
+	// Network has a link for each pair of processes. Hosts dial through it under their own names.
+	Network *injector.Injector
+	// Folder is an empty folder for the hosts' data.
+	Folder string
+	Seed   uint64
+}
+
+// deployments has the users' deployments, with the services of their base files.
+func deployments() map[string]Setup {
+	tally := configurer.DefaultService("tally")
+	tally.Keyed = true
+	tally.Ownership.CutOffHold = time.Hour
+	payroll := configurer.DefaultService("payroll")
+	payroll.Deadline = 5 * time.Second
+	dealer := configurer.DefaultService("dealerDesk")
+	dealer.Keyed = true
+	dealer.KeySource = "path:1"
+	dealer.Deadline = time.Second
+	dealer.Ownership.CutOffHold = 2 * time.Minute
+	workshop := configurer.DefaultService("workshopDesk")
+	workshop.Deadline = time.Second
+	return map[string]Setup{
+		"zbiorka": {
+			Deployment:  "zbiorka",
+			DataCentres: []string{"krakow", "katowice", "rzeszow", "bielsko"},
+			HostsEach:   2,
+			Services:    []configurer.Service{tally, payroll},
+		},
+		"aebischer": {
+			Deployment:  "aebischer",
+			DataCentres: []string{"luzern", "zug", "schwyz", "altdorf"},
+			HostsEach:   2,
+			Services:    []configurer.Service{dealer, workshop},
+		},
+	}
+}
--- /dev/null
+++ b/experimenter/experimenter.go
@@ -0,0 +1,157 @@
+// Package experimenter runs scenarios with emulated targets and callers against a Cluster, and compares policies by the
+// same figures.
+package experimenter
+
+import (
+	"context"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/auditor"
+	"bramleyline.example/bramleyline/loader"
+)
+
+// Policies of the command measure.
+const (
+	PolicyDefault  = "default"
+	PolicyBaseline = "baseline"
+	PolicyBoth     = "both"
+)
+
+var (
+	// ErrViolated reports that a run broke an invariant.
+	ErrViolated = errors.New("an invariant was broken")
+	// ErrUnknown reports options that name no deployment, scenario or policy.
+	ErrUnknown = errors.New("unknown name")
+)
+
+// Options choose a run.
+type Options struct {
+	Deployment string
+	Scenario   string
+	Policy     string
+	Seed       uint64
+	// For is the time of the measured load; zero means 20 s.
+	For time.Duration
+	// Rate is the number of requests a second; zero means the scenario's own.
+	Rate float64
+	// Out is the folder for results.json and the plots; empty means none.
+	Out string
+}
+
+// Experimenter runs experiments.
+type Experimenter struct {
+	// Make makes the system under test for the policy "default".
+	Make func(Setup) (Cluster, error)
+	// Stdout gets the table and the log of the steps.
+	Stdout io.Writer
+}
+
+// Result is the outcome of one run under one policy.
+type Result struct {
+	Options Options
+	Policy  string
+	Start   time.Time
+	// Steps has what was done and when, counted from Start.
+	Steps  []string
+	Report auditor.Report
+	// Records are the callers' records, for the plots.
+	Records []loader.Record
+	// Asserted counts the violations that the program itself found.
+	Asserted int64
+}
+
+// Run runs one scenario under the policies asked for, prints the table and writes the files. ErrViolated says that the
+// policy "default" broke an invariant or, if only the baseline was asked for, that the baseline did.
+func (x *Experimenter) Run(ctx context.Context, o Options) ([]Result, error) {
+	if o.For == 0 {
+		o.For = 20 * time.Second
+	}
+	if x.Stdout == nil {
+		x.Stdout = io.Discard
+	}
+	if o.Policy == "" {
+		o.Policy = PolicyBoth
+	}
+	setup, ok := deployments()[o.Deployment]
+	if !ok {
+		return nil, errors.Wrapf(ErrUnknown, "deployment %q", o.Deployment)
+	}
+	i := slices.IndexFunc(scenarios(), func(s scenario) bool { return s.name == o.Scenario })
+	if i < 0 {
+		return nil, errors.Wrapf(ErrUnknown, "scenario %q", o.Scenario)
+	}
+	policies := map[string][]string{
+		PolicyDefault:  {PolicyDefault},
+		PolicyBaseline: {PolicyBaseline},
+		PolicyBoth:     {PolicyBaseline, PolicyDefault},
+	}[o.Policy]
+	if len(policies) == 0 {
+		return nil, errors.Wrapf(ErrUnknown, "policy %q", o.Policy)
+	}
+	var results []Result
+	for _, policy := range policies {
+		r, err := x.try(ctx, o, policy, setup, scenarios()[i])
+		if err != nil {
+			return results, errors.Wrapf(err, "policy %s", policy)
+		}
+		results = append(results, r)
+	}
+	printTable(x.Stdout, results)
+	if o.Out != "" {
+		if err := writeFiles(o.Out, results); err != nil {
+			return results, err
+		}
+	}
+	last := results[len(results)-1]
+	if len(last.Report.Findings) > 0 || last.Asserted > 0 {
+		return results, errors.Wrapf(ErrViolated, "policy %s, scenario %s, seed %d", last.Policy, o.Scenario, o.Seed)
+	}
+	return results, nil
+}
+
+// try runs one policy in a folder of its own.
+func (x *Experimenter) try(ctx context.Context, o Options, policy string, setup Setup, s scenario) (Result, error) {
+	folder, err := os.MkdirTemp("", "bramleyline-measure-")
+	if err != nil {
+		return Result{}, errors.Wrap(err, "folder of the run")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	network, err := newNetwork(setup.DataCentres)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = network.Close() }()
+	setup.Network = network.Injector
+	setup.Folder = folder
+	setup.Seed = o.Seed
+	setup.Token = "bench-target-key"
+	makeCluster := newBaseline
+	if policy == PolicyDefault {
+		makeCluster = x.Make
+	}
+	if makeCluster == nil {
+		return Result{}, errors.Wrap(ErrUnknown, "no system under test for this policy")
+	}
+	cluster, err := makeCluster(setup)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = cluster.Close() }()
+	t := newTrial(o, policy, setup, s, network, cluster, x.Stdout)
+	defer t.close()
+	return t.run(ctx)
+}
+
+// Scenarios lists the names of all scenarios with a line on each, in the order of the documentation.
+func Scenarios() [][2]string {
+	var list [][2]string
+	for _, s := range scenarios() {
+		list = append(list, [2]string{s.name, s.about})
+	}
+	return list
+}
--- /dev/null
+++ b/experimenter/experimenter_test.go
@@ -0,0 +1,137 @@
+package experimenter
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/auditor"
+)
+
+// TestBaselineBreaksInvariants guards against a bench that sees no faults: the baseline sends requests again that a
+// frozen target still runs.
+func TestBaselineBreaksInvariants(t *testing.T) {
+	c := qt.New(t)
+	out := t.TempDir()
+	var table strings.Builder
+	x := Experimenter{
+		Stdout: &table,
+	}
+	results, err := x.Run(context.Background(), Options{
+		Deployment: "zbiorka",
+		Scenario:   "targetLoss",
+		Policy:     PolicyBaseline,
+		Seed:       1,
+		For:        3 * time.Second,
+		Rate:       600,
+		Out:        out,
+	})
+	c.Assert(errors.Is(err, ErrViolated), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(slices.ContainsFunc(results[0].Report.Findings, func(f auditor.Finding) bool {
+		return f.Invariant == "I7" && len(f.Evidence) > 2
+	}), qt.IsTrue)
+	c.Assert(table.String(), qt.Contains, "violations I7")
+
+	b, err := os.ReadFile(filepath.Join(out, "results.json"))
+	c.Assert(err, qt.IsNil)
+	var wires []resultWire
+	c.Assert(json.Unmarshal(b, &wires), qt.IsNil)
+	c.Assert(wires[0].Outcomes["all"].Requests, qt.Equals, len(results[0].Records))
+	c.Assert(wires[0].Findings, qt.HasLen, len(results[0].Report.Findings))
+	for _, file := range []string{"served.svg", "failed.svg", "latency.svg"} {
+		svg, err := os.ReadFile(filepath.Join(out, file))
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(svg), qt.Contains, "</svg>")
+	}
+}
+
+// TestUnknownNames guards against a run of something else than was asked for.
+func TestUnknownNames(t *testing.T) {
+	for _, o := range []Options{
+		{Deployment: "none", Scenario: "steady"},
+		{Deployment: "zbiorka", Scenario: "none"},
+		{Deployment: "zbiorka", Scenario: "steady", Policy: "none"},
+		{Deployment: "zbiorka", Scenario: "steady", Policy: PolicyDefault},
+	} {
+		var x Experimenter
+		_, err := x.Run(context.Background(), o)
+		qt.Assert(t, errors.Is(err, ErrUnknown), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
+// newIdleTrial returns a trial of the baseline whose hosts are not started.
+func newIdleTrial(t *testing.T, name string, seed uint64) *trial {
+	setup := deployments()["aebischer"]
+	n, err := newNetwork(setup.DataCentres)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = n.Close() })
+	setup.Network = n.Injector
+	b, err := newBaseline(setup)
+	qt.Assert(t, err, qt.IsNil)
+	all := scenarios()
+	i := slices.IndexFunc(all, func(s scenario) bool { return s.name == name })
+	tr := newTrial(Options{Seed: seed, For: 20 * time.Second}, PolicyBaseline, setup, all[i], n, b, io.Discard)
+	for i := range 28 {
+		dc := setup.DataCentres[i%4]
+		tr.targets = append(tr.targets, &target{name: dc, service: "dealerDesk", dataCentre: dc})
+	}
+	return tr
+}
+
+// TestSchedules guards against schedules that depend on anything but the seed, and against steps outside the run.
+func TestSchedules(t *testing.T) {
+	c := qt.New(t)
+	names := func(scenario string, seed uint64) string {
+		tr := newIdleTrial(t, scenario, seed)
+		var s strings.Builder
+		for _, step := range tr.scenario.steps(tr) {
+			c.Assert(step.at >= 0 && step.at < tr.opts.For, qt.IsTrue)
+			s.WriteString(step.at.String() + " " + step.name + "\n")
+		}
+		return s.String()
+	}
+	for _, s := range []string{"random", "stragglers", "dcTakeout", "hostLoss"} {
+		c.Assert(names(s, 7), qt.Equals, names(s, 7))
+		c.Assert(names(s, 7), qt.Not(qt.Equals), names(s, 8), qt.Commentf(s))
+	}
+}
+
+// backwards is a cluster in which one host returns to an older version, and in which every operator wins.
+type backwards struct {
+	Cluster
+	asked uint64
+}
+
+func (b *backwards) Versions(context.Context) map[string]uint64 {
+	b.asked++
+	return map[string]uint64{"a": 5, "b": 7 - b.asked%2}
+}
+
+func (b *backwards) Apply(_ context.Context, _ uint64, variant int) (uint64, error) {
+	return uint64(variant), nil
+}
+
+// TestStormFindings guards against a scenario that accepts two winners or a version that reverts (I10).
+func TestStormFindings(t *testing.T) {
+	c := qt.New(t)
+	tr := newIdleTrial(t, "configStorm", 1)
+	tr.cluster = &backwards{}
+	tr.opts.For = time.Second
+	tr.start = time.Now()
+	c.Assert(tr.watchVersions(context.Background()), qt.IsNil)
+	c.Assert(len(tr.findings) > 0, qt.IsTrue)
+	c.Assert(tr.findings[0].Message, qt.Contains, "went back")
+	tr.findings = nil
+	c.Assert(tr.round(context.Background(), 0), qt.IsNil)
+	c.Assert(tr.findings, qt.HasLen, 1)
+	c.Assert(tr.findings[0].Message, qt.Contains, "both operators won")
+}
--- /dev/null
+++ b/experimenter/table.go
@@ -0,0 +1,106 @@
+package experimenter
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// shownFindings bounds the findings printed for each invariant; results.json has them all.
+const shownFindings = 3
+
+// row is one figure of a run as text.
+type row struct {
+	name  string
+	value string
+}
+
+func rows(r Result) []row {
+	n := r.Report.Numbers
+	all := n.Outcomes[""]
+	rows := []row{
+		{"requests", fmt.Sprint(all.Requests)},
+		{"served", fmt.Sprintf("%d (%.3f%%)", all.Served, 100*float64(all.Served)/float64(max(1, all.Requests)))},
+	}
+	for _, told := range []string{"notRun", "unknown", "failed", "lost"} {
+		rows = append(rows, row{"told " + told, fmt.Sprint(all.Told[told])})
+	}
+	rows = append(rows,
+		row{"not sent", fmt.Sprint(all.NotSent)},
+		row{"p50", millis(all.P50)},
+		row{"p99", millis(all.P99)},
+		row{"p99.9", millis(all.P999)},
+		row{"max", millis(all.Max)},
+	)
+	for _, service := range slices.Sorted(maps.Keys(n.Imbalance)) {
+		rows = append(rows, row{"imbalance " + service, fmt.Sprintf("%.2f", n.Imbalance[service])})
+	}
+	rows = append(rows,
+		row{"key moves", fmt.Sprint(n.KeyMoves)},
+		row{"slot moves", fmt.Sprintf("%d of %d slots", n.SlotMoves, n.SlotsHeld)},
+		row{"unavailable, all keys", millis(n.Unavailable)},
+		row{"unavailable, worst key", millis(n.WorstUnavailable)},
+		row{"keys unavailable", fmt.Sprint(n.KeysUnavailable)},
+		row{"runs crashed", fmt.Sprint(n.Crashes)},
+	)
+	for _, reason := range []string{"overloaded", "staleEpoch", "draining", "cold"} {
+		rows = append(rows, row{"target refused, " + reason, fmt.Sprint(n.Refused[reason])})
+	}
+	rows = append(rows, row{"repeats by callers", fmt.Sprint(n.CallerRepeats)})
+	violations := make(map[string]int)
+	for _, f := range r.Report.Findings {
+		violations[f.Invariant]++
+	}
+	for _, i := range []string{"I1", "I3", "I4", "I5", "I6", "I7", "I8", "I9", "I10"} {
+		rows = append(rows, row{"violations " + i, fmt.Sprint(violations[i])})
+	}
+	return append(rows, row{"violations asserted", fmt.Sprint(r.Asserted)})
+}
+
+func millis(d time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(d)/float64(time.Millisecond))
+}
+
+// printTable prints the figures of all policies side by side, and the first findings of each.
+func printTable(w io.Writer, results []Result) {
+	o := results[0].Options
+	fmt.Fprintf(w, "\ndeployment %s, scenario %s, seed %d, %s\n\n", o.Deployment, o.Scenario, o.Seed, o.For)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	head := "figure\t"
+	columns := make([][]row, len(results))
+	for i, r := range results {
+		head += r.Policy + "\t"
+		columns[i] = rows(r)
+	}
+	fmt.Fprintln(tw, head)
+	names := columns[0]
+	for _, c := range columns {
+		if len(c) > len(names) {
+			names = c
+		}
+	}
+	for _, name := range names {
+		line := name.name + "\t"
+		for _, c := range columns {
+			value := "-"
+			if k := slices.IndexFunc(c, func(r row) bool { return r.name == name.name }); k >= 0 {
+				value = c[k].value
+			}
+			line += value + "\t"
+		}
+		fmt.Fprintln(tw, line)
+	}
+	_ = tw.Flush()
+	for _, r := range results {
+		shown := make(map[string]int)
+		for _, f := range r.Report.Findings {
+			if shown[f.Invariant]++; shown[f.Invariant] <= shownFindings {
+				fmt.Fprintf(w, "\n%s: %s %s\n  %s\n", r.Policy, f.Invariant, f.Message, strings.Join(f.Evidence, "\n  "))
+			}
+		}
+	}
+}
--- a/injector/dialer.go
+++ b/injector/dialer.go
@@ -67,7 +67,7 @@
 		change := l.waitChange()
 		forward, back := l.forward.Load(), l.back.Load()
 		if !forward.Cut && !back.Cut && !forward.Hold && !back.Hold {
-			return sleep(ctx, forward.Delay+back.Delay)
+			return sleep(ctx, i.Connect+forward.Delay+back.Delay)
 		}
 		select {
 		case <-change:
--- a/injector/injector.go
+++ b/injector/injector.go
@@ -49,6 +49,9 @@
 
 // Injector holds the links and the rules that put faults on them. The zero value is ready to use.
 type Injector struct {
+	// Connect is the cost of opening a connection in addition to the round trip.
+	Connect time.Duration
+
 	mu      sync.Mutex
 	links   []*link
 	rules   []rule
--- a/injector/pair.go
+++ b/injector/pair.go
@@ -1,6 +1,7 @@
 package injector
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -66,11 +67,11 @@
 	queue := make(chan chunk, queueLength)
 	go func() {
 		defer close(queue)
+		buf := make([]byte, chunkBytes)
 		for {
-			buf := make([]byte, chunkBytes)
 			n, err := from.Read(buf)
 			c := chunk{
-				data: buf[:n],
+				data: bytes.Clone(buf[:n]),
 				at:   time.Now(),
 			}
 			if n > 0 && !p.enqueue(queue, c) {
