--- /dev/null
+++ b/journaler/journaler_test.go
@@ -0,0 +1,274 @@
+package journaler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/faulter"
+	"bramleyline.example/bramleyline/journaler"
+)
+
+// model is what a journal must hold after a crash. before is the state before the operation in progress, and after the
+// state if it is carried out.
+type model struct {
+	hard     journaler.HardState
+	snapshot uint64
+	entries  []string
+}
+
+func describe(e journaler.Entry) string {
+	return fmt.Sprintf("%d/%d/%d", e.Index, e.Term, len(e.Data))
+}
+
+func observe(r journaler.Recovered) model {
+	m := model{
+		hard: r.HardState,
+	}
+	if r.Snapshot != nil {
+		m.snapshot = r.Snapshot.Index
+	}
+	for _, e := range r.Entries {
+		m.entries = append(m.entries, describe(e))
+	}
+	return m
+}
+
+// workload makes random changes until the file system crashes, and returns the model before and after the change in
+// which it did. pieces are the entries of an append in progress, of which any number may have become durable.
+func workload(rng *rand.Rand, j *journaler.Journaler, m model, base []journaler.Entry) (before, after model, pieces []string) {
+	term := m.hard.Term
+	log := base
+	last := func() uint64 {
+		if len(log) > 0 {
+			return log[len(log)-1].Index
+		}
+		return m.snapshot
+	}
+	for {
+		before, after, pieces = m, m, nil
+		var err error
+		switch k := rng.IntN(10); {
+		case k == 0:
+			term++
+			after.hard = journaler.HardState{
+				Term: term,
+				Vote: "host",
+			}
+			err = j.SaveHardState(after.hard)
+		case k == 1 && last() > m.snapshot:
+			n := 1 + rng.IntN(len(log))
+			s := journaler.Snapshot{
+				Index: log[n-1].Index,
+				Term:  log[n-1].Term,
+			}
+			log = log[n:]
+			after.snapshot = s.Index
+			after.entries = texts(log)
+			err = j.SaveSnapshot(s, true)
+		case k == 2 && rng.IntN(4) == 0:
+			term++
+			s := journaler.Snapshot{
+				Index: m.snapshot + 1 + uint64(rng.IntN(int(last()-m.snapshot)+5)),
+				Term:  term,
+			}
+			log = nil
+			after.snapshot, after.entries = s.Index, nil
+			err = j.SaveSnapshot(s, false)
+		default:
+			first := last() + 1
+			if len(log) > 0 && rng.IntN(4) == 0 {
+				// A new leader replaces entries.
+				term++
+				n := rng.IntN(len(log))
+				first = log[n].Index
+				log = log[:n:n]
+			}
+			var batch []journaler.Entry
+			for i := range 1 + rng.IntN(4) {
+				batch = append(batch, journaler.Entry{
+					Index: first + uint64(i),
+					Term:  term,
+					Data:  []byte(strings.Repeat("x", rng.IntN(900))),
+				})
+			}
+			err = j.Append(batch)
+			pieces = texts(batch)
+			log = append(log, batch...)
+			after.entries = texts(log)
+		}
+		if err != nil {
+			return before, after, pieces
+		}
+		m = after
+	}
+}
+
+func texts(entries []journaler.Entry) []string {
+	var s []string
+	for _, e := range entries {
+		s = append(s, describe(e))
+	}
+	return s
+}
+
+// What was acknowledged must be there after a crash at any operation, and what was in progress must be there wholly, not
+// at all, or, for an append, up to some entry.
+func TestCrashAtEveryOperation(t *testing.T) {
+	for crash := range 400 {
+		rng := rand.New(rand.NewPCG(1, uint64(crash)))
+		fs := faulter.New()
+		var m model
+		var base []journaler.Entry
+		for round := range 3 {
+			j, r, err := journaler.Open(fs)
+			if err != nil {
+				t.Fatalf("crash %d, round %d: %v", crash, round, err)
+			}
+			m, base = observe(r), r.Entries
+			fs.CrashAfter(crash % 100)
+			before, after, pieces := workload(rng, j, m, base)
+			if !fs.Crashed() {
+				t.Fatalf("crash %d, round %d: an operation failed without a crash", crash, round)
+			}
+			fs.Restart(rng)
+			// Opening may crash too, while it cuts off a torn write.
+			fs.CrashAfter(rng.IntN(8))
+			if _, _, err := journaler.Open(fs); err != nil && !fs.Crashed() {
+				t.Fatalf("crash %d, round %d: %v", crash, round, err)
+			}
+			fs.Restart(rng)
+			_, r, err = journaler.Open(fs)
+			if err != nil {
+				t.Fatalf("crash %d, round %d: %v", crash, round, err)
+			}
+			if got := observe(r); !allowed(got, before, after, pieces) {
+				t.Fatalf("crash %d, round %d:\ngot    %v\nbefore %v\nafter  %v", crash, round, got, before, after)
+			}
+		}
+	}
+}
+
+func allowed(got, before, after model, pieces []string) bool {
+	if equal(got, after) || equal(got, before) {
+		return true
+	}
+	kept := after.entries[:len(after.entries)-len(pieces)]
+	for n := range pieces {
+		partial := after
+		partial.entries = append(kept[:len(kept):len(kept)], pieces[:n+1]...)
+		if equal(got, partial) {
+			return true
+		}
+	}
+	return false
+}
+
+func equal(a, b model) bool {
+	return fmt.Sprint(a) == fmt.Sprint(b)
+}
+
+func filled(c *qt.C) (*faulter.Faulter, string, []int) {
+	fs := faulter.New()
+	j, _, err := journaler.Open(fs)
+	c.Assert(err, qt.IsNil)
+	var name string
+	offsets := []int{0}
+	for i := range 5 {
+		c.Assert(j.Append([]journaler.Entry{{
+			Index: uint64(i + 1),
+			Term:  1,
+			Data:  []byte("some command"),
+		}}), qt.IsNil)
+		names, err := fs.List()
+		c.Assert(err, qt.IsNil)
+		name = names[0]
+		b, err := fs.ReadFile(name)
+		c.Assert(err, qt.IsNil)
+		offsets = append(offsets, len(b))
+	}
+	return fs, name, offsets
+}
+
+// A torn last record was never acknowledged, so the log goes on without it.
+func TestTornLastRecordIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	_, _, offsets := filled(c)
+	for size := offsets[4]; size < offsets[5]; size++ {
+		fs, name, _ := filled(c)
+		fs.Truncate(name, size)
+		j, r, err := journaler.Open(fs)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.Entries, qt.HasLen, 4)
+		c.Assert(r.TornBytes, qt.Equals, size-offsets[4])
+		c.Assert(j.Append([]journaler.Entry{{
+			Index: 5,
+			Term:  2,
+		}}), qt.IsNil)
+		_, r, err = journaler.Open(fs)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.Entries[4].Term, qt.Equals, uint64(2))
+	}
+}
+
+// Corruption of an acknowledged record must never be taken for the end of the log.
+func TestCorruptionInTheMiddleIsAnError(t *testing.T) {
+	c := qt.New(t)
+	_, _, offsets := filled(c)
+	for record := range 4 {
+		for offset := offsets[record]; offset < offsets[record+1]; offset++ {
+			fs, name, _ := filled(c)
+			fs.Corrupt(name, offset)
+			_, _, err := journaler.Open(fs)
+			c.Assert(errors.Is(err, journaler.ErrCorrupt), qt.IsTrue, qt.Commentf("offset %d: %v", offset, err))
+			c.Assert(err, qt.ErrorMatches, fmt.Sprintf("%s: record at offset %d: .*", name, offsets[record]))
+		}
+	}
+}
+
+// Snapshots and hard state are replaced whole, so any fault in them is corruption.
+func TestCorruptSnapshotAndHardStateAreErrors(t *testing.T) {
+	c := qt.New(t)
+	fs := faulter.New()
+	j, _, err := journaler.Open(fs)
+	c.Assert(err, qt.IsNil)
+	c.Assert(j.SaveHardState(journaler.HardState{
+		Term: 3,
+	}), qt.IsNil)
+	c.Assert(j.SaveSnapshot(journaler.Snapshot{
+		Index: 7,
+		Term:  3,
+	}, false), qt.IsNil)
+	names, err := fs.List()
+	c.Assert(err, qt.IsNil)
+	c.Assert(names, qt.HasLen, 2)
+	for _, name := range names {
+		fs.Corrupt(name, 5)
+		_, _, err := journaler.Open(fs)
+		c.Assert(err, qt.ErrorMatches, name+": checksum at offset 0: .*")
+		fs.Corrupt(name, 5)
+	}
+}
+
+// After a failed sync the data may be lost although a second sync reports success, so the journal must stay failed.
+func TestFailedSyncIsFinal(t *testing.T) {
+	c := qt.New(t)
+	fs := faulter.New()
+	j, _, err := journaler.Open(fs)
+	c.Assert(err, qt.IsNil)
+	entry := []journaler.Entry{{
+		Index: 1,
+		Term:  1,
+	}}
+	fs.FailSyncAfter(0)
+	c.Assert(errors.Is(j.Append(entry), journaler.ErrFailed), qt.IsTrue)
+	c.Assert(errors.Is(j.Append(entry), journaler.ErrFailed), qt.IsTrue)
+	c.Assert(errors.Is(j.SaveHardState(journaler.HardState{}), journaler.ErrFailed), qt.IsTrue)
+	c.Assert(errors.Is(j.SaveSnapshot(journaler.Snapshot{
+		Index: 1,
+	}, false), journaler.ErrFailed), qt.IsTrue)
+}
