Test the consensus core under random faults

Cause: the core was checked only by groups of real hosts without faults.

Checked at every step: one leader in a term, no two leases at a time, committed entries and states equal everywhere, no cut of a committed entry; at the end all members agree.

--- /dev/null
+++ b/replicator/cluster_test.go
@@ -0,0 +1,390 @@
+package replicator_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/faulter"
+	"bramleyline.example/bramleyline/journaler"
+	"bramleyline.example/bramleyline/replicator"
+)
+
+const electionTimeout = 400 * time.Millisecond
+
+// member is one host of the cluster under test: core, journal, and a state that is a chain of hashes.
+type member struct {
+	name    string
+	fs      *faulter.Faulter
+	journal *journaler.Journaler
+	core    *replicator.Replicator
+	// drift is the rate of the member's clock in parts per thousand.
+	drift       time.Duration
+	pausedUntil time.Duration
+	index       uint64
+	chain       uint64
+	lastTaken   uint64
+}
+
+type flight struct {
+	at time.Duration
+	m  replicator.Message
+}
+
+// cluster runs members on one virtual clock, and keeps what must never change: the leader of each term and the
+// committed entry of each index.
+type cluster struct {
+	rng       *rand.Rand
+	now       time.Duration
+	members   map[string]*member
+	first     []journaler.Member
+	flights   []flight
+	cut       map[string]int
+	leaders   map[uint64]string
+	committed map[uint64]string
+	chains    map[uint64]uint64
+	proposals int
+	pad       int
+	// loss, repeat and late are chances in a hundred for each message.
+	loss, repeat, late int
+	failure            error
+	sent               map[string]int
+}
+
+func newCluster(seed uint64, voters int) *cluster {
+	c := &cluster{
+		rng:       rand.New(rand.NewPCG(seed, 7)),
+		members:   make(map[string]*member),
+		cut:       make(map[string]int),
+		leaders:   make(map[uint64]string),
+		committed: make(map[uint64]string),
+		chains:    make(map[uint64]uint64),
+		sent:      make(map[string]int),
+	}
+	for i := range voters {
+		c.first = append(c.first, journaler.Member{
+			Name: fmt.Sprintf("m%d", i),
+		})
+	}
+	for _, m := range c.first {
+		c.add(m.Name)
+	}
+	return c
+}
+
+func (c *cluster) fail(format string, args ...any) {
+	if c.failure == nil {
+		c.failure = errors.Errorf("at %s: "+format, append([]any{c.now}, args...)...)
+	}
+}
+
+func (c *cluster) add(name string) {
+	c.members[name] = &member{
+		name:  name,
+		fs:    faulter.New(),
+		drift: time.Duration(c.rng.IntN(81) - 40),
+	}
+	c.start(name)
+}
+
+func (c *cluster) names() []string {
+	return slices.Sorted(maps.Keys(c.members))
+}
+
+// clock is a member's own monotonic clock, which may run up to 4% fast or slow.
+func (c *cluster) clock(m *member) time.Time {
+	return time.Unix(0, 0).Add(c.now + c.now*m.drift/1000)
+}
+
+func (c *cluster) start(name string) {
+	m := c.members[name]
+	if m.core != nil {
+		return
+	}
+	m.fs.Restart(c.rng)
+	journal, rec, err := journaler.Open(m.fs)
+	if err != nil {
+		c.fail("open %s: %v", name, err)
+		return
+	}
+	m.index, m.chain = 0, 0
+	m.lastTaken = 0
+	if rec.Snapshot != nil {
+		m.restore(*rec.Snapshot)
+	}
+	core, err := replicator.New(c.clock(m), replicator.Options{
+		Name:            name,
+		Members:         c.first,
+		ElectionTimeout: electionTimeout,
+		Seed:            c.rng.Uint64(),
+	}, rec)
+	if err != nil {
+		c.fail("start %s: %v", name, err)
+		return
+	}
+	m.journal, m.core = journal, core
+}
+
+func (m *member) restore(s journaler.Snapshot) {
+	m.index, m.chain = s.Index, binary.LittleEndian.Uint64(s.Data)
+	m.lastTaken = s.Index
+}
+
+func (c *cluster) stop(m *member) {
+	m.core, m.journal = nil, nil
+}
+
+func (c *cluster) running(m *member) bool {
+	return m.core != nil && c.now >= m.pausedUntil
+}
+
+// carryOut carries out effects as a driver does. An injected crash of the file system stops the member in between.
+func (c *cluster) carryOut(m *member) {
+	for m.core != nil {
+		e := m.core.Effects()
+		if e.Empty() {
+			break
+		}
+		c.sendAll(e.Early)
+		if err := c.persist(m, e); err != nil {
+			if !m.fs.Crashed() && !errors.Is(err, journaler.ErrFailed) {
+				c.fail("persist at %s: %v", m.name, err)
+			}
+			c.stop(m)
+			return
+		}
+		c.sendAll(e.Messages)
+		for _, entry := range e.Committed {
+			c.apply(m, entry)
+		}
+		m.core.Saved(c.clock(m), e)
+	}
+	c.checkLeaders()
+}
+
+func (c *cluster) persist(m *member, e replicator.Effects) error {
+	if e.HardState != nil {
+		if err := m.journal.SaveHardState(*e.HardState); err != nil {
+			return err
+		}
+	}
+	if e.Snapshot != nil {
+		if err := m.journal.SaveSnapshot(*e.Snapshot, e.KeepsLog); err != nil {
+			return err
+		}
+		m.restore(*e.Snapshot)
+		if want, ok := c.chains[m.index]; !ok || want != m.chain {
+			c.fail("snapshot %d at %s has another state", m.index, m.name)
+		}
+	}
+	return m.journal.Append(e.Entries)
+}
+
+func (c *cluster) apply(m *member, e journaler.Entry) {
+	text := fmt.Sprintf("%d/%d/%d/%s", e.Index, e.Term, e.Kind, e.Data)
+	if old, ok := c.committed[e.Index]; ok && old != text {
+		c.fail("%s applies %s, but %s was committed", m.name, text, old)
+	}
+	c.committed[e.Index] = text
+	if e.Index != m.index+1 {
+		c.fail("%s applies %d after %d", m.name, e.Index, m.index)
+	}
+	h := fnv.New64a()
+	_ = binary.Write(h, binary.LittleEndian, m.chain)
+	_, _ = h.Write([]byte(text))
+	m.index, m.chain = e.Index, h.Sum64()
+	if old, ok := c.chains[m.index]; ok && old != m.chain {
+		c.fail("state of %s differs at %d", m.name, m.index)
+	}
+	c.chains[m.index] = m.chain
+}
+
+// takeSnapshot replaces the log of a member by a snapshot of its state.
+func (c *cluster) takeSnapshot(m *member) {
+	if m.index <= m.lastTaken {
+		return
+	}
+	data := binary.LittleEndian.AppendUint64(nil, m.chain)
+	s, err := m.core.SnapshotAt(m.index, append(data, make([]byte, c.pad)...))
+	if err != nil {
+		c.fail("snapshot at %s: %v", m.name, err)
+		return
+	}
+	if err := m.journal.SaveSnapshot(s, true); err != nil {
+		c.stop(m)
+		return
+	}
+	m.lastTaken = s.Index
+	m.core.Compact(s)
+}
+
+func (c *cluster) sendAll(messages []replicator.Message) {
+	for _, m := range messages {
+		c.sent[kind(m)]++
+		if c.rng.IntN(100) < c.loss || c.cut[m.From] != c.cut[m.To] {
+			continue
+		}
+		c.flights = append(c.flights, flight{
+			at: c.now + c.latency(),
+			m:  m,
+		})
+		if c.rng.IntN(100) < c.repeat {
+			c.flights = append(c.flights, flight{
+				at: c.now + c.latency(),
+				m:  m,
+			})
+		}
+	}
+}
+
+func kind(m replicator.Message) string {
+	switch {
+	case m.Vote != nil:
+		return "vote"
+	case m.Snapshot != nil:
+		return "snapshot"
+	case m.Append != nil && len(m.Append.Entries) > 0:
+		return "entries"
+	case m.Append != nil:
+		return "heartbeat"
+	}
+	return "answer"
+}
+
+func (c *cluster) latency() time.Duration {
+	if c.rng.IntN(100) < c.late {
+		return time.Duration(c.rng.IntN(2000)) * time.Millisecond
+	}
+	return time.Duration(500+c.rng.IntN(4000)) * time.Microsecond
+}
+
+// checkLeaders checks that a term has one leader, and that no two members hold a leader's lease at the same time.
+func (c *cluster) checkLeaders() {
+	holder := ""
+	for _, name := range c.names() {
+		m := c.members[name]
+		if m.core == nil {
+			continue
+		}
+		if m.core.Leader() == name {
+			if old, ok := c.leaders[m.core.Term()]; ok && old != name {
+				c.fail("%s and %s lead in term %d", old, name, m.core.Term())
+			}
+			c.leaders[m.core.Term()] = name
+		}
+		if _, ok := m.core.Leading(c.clock(m)); ok {
+			if holder != "" {
+				c.fail("%s and %s hold the leader's lease", holder, name)
+			}
+			holder = name
+		}
+	}
+}
+
+// run lets time pass in steps of 5 ms.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end && c.failure == nil; {
+		c.now += 5 * time.Millisecond
+		c.deliver()
+		for _, name := range c.names() {
+			if m := c.members[name]; c.running(m) {
+				m.core.Tick(c.clock(m))
+				c.carryOut(m)
+			}
+		}
+	}
+}
+
+func (c *cluster) deliver() {
+	slices.SortStableFunc(c.flights, func(a, b flight) int { return int(a.at - b.at) })
+	for len(c.flights) > 0 && c.flights[0].at <= c.now {
+		f := c.flights[0]
+		c.flights = c.flights[1:]
+		m, ok := c.members[f.m.To]
+		if !ok || m.core == nil || c.cut[f.m.From] != c.cut[f.m.To] {
+			continue
+		}
+		if c.now < m.pausedUntil {
+			// The kernel keeps what arrives for a paused process.
+			f.at = m.pausedUntil + time.Millisecond
+			c.flights = append(c.flights, f)
+			slices.SortStableFunc(c.flights, func(a, b flight) int { return int(a.at - b.at) })
+			continue
+		}
+		m.core.Step(c.clock(m), f.m)
+		c.carryOut(m)
+	}
+}
+
+// leader returns a member that leads, nil if there is none.
+func (c *cluster) leader() *member {
+	for _, name := range c.names() {
+		m := c.members[name]
+		if !c.running(m) {
+			continue
+		}
+		if _, ok := m.core.Leading(c.clock(m)); ok {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cluster) propose(n int) {
+	for _, name := range c.names() {
+		m := c.members[name]
+		if !c.running(m) || m.core.Leader() != name {
+			continue
+		}
+		var commands [][]byte
+		for range n {
+			c.proposals++
+			commands = append(commands, fmt.Appendf(nil, "command %d", c.proposals))
+		}
+		_, _, _ = m.core.Propose(c.clock(m), commands)
+		c.carryOut(m)
+	}
+}
+
+// heal removes all faults, starts all members, and checks that the cluster commits again and that all members of the
+// list in force reach the same state.
+func (c *cluster) heal() {
+	c.loss, c.repeat, c.late = 0, 0, 0
+	c.cut = make(map[string]int)
+	for _, name := range c.names() {
+		m := c.members[name]
+		m.fs.CrashAfter(1 << 40)
+		m.fs.FailSyncAfter(1 << 40)
+		m.pausedUntil = 0
+		c.start(name)
+	}
+	highest := uint64(len(c.committed))
+	for end := c.now + 30*time.Second; c.now < end && c.failure == nil; {
+		c.run(100 * time.Millisecond)
+		c.propose(1)
+		c.run(400 * time.Millisecond)
+		if c.settled(highest) {
+			return
+		}
+	}
+	c.fail("no agreement within 30 s after all faults ended")
+}
+
+func (c *cluster) settled(above uint64) bool {
+	l := c.leader()
+	if l == nil || l.index <= above {
+		return false
+	}
+	for _, mem := range l.core.Members() {
+		if m, ok := c.members[mem.Name]; ok && (m.core == nil || m.index != l.index || m.chain != l.chain) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/replicator/replicator_test.go
@@ -0,0 +1,231 @@
+package replicator_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"bramleyline.example/bramleyline/asserter"
+	"bramleyline.example/bramleyline/journaler"
+	"bramleyline.example/bramleyline/replicator"
+)
+
+func TestMain(m *testing.M) {
+	asserter.SetFatal(true)
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// fault makes one random change to the cluster.
+func fault(t *rapid.T, c *cluster) string {
+	names := c.names()
+	m := c.members[rapid.SampledFrom(names).Draw(t, "member")]
+	action := rapid.IntRange(0, 12).Draw(t, "action")
+	switch action {
+	case 0:
+		m.fs.CrashAfter(rapid.IntRange(0, 12).Draw(t, "operations"))
+	case 1:
+		c.stop(m)
+	case 2, 3, 4:
+		c.start(m.name)
+	case 5:
+		m.pausedUntil = c.now + time.Duration(rapid.IntRange(10, 3000).Draw(t, "pause"))*time.Millisecond
+	case 6:
+		for _, name := range names {
+			c.cut[name] = rapid.IntRange(0, 1).Draw(t, "side")
+		}
+	case 7:
+		clear(c.cut)
+	case 8:
+		if c.running(m) {
+			c.takeSnapshot(m)
+		}
+	case 9:
+		m.fs.FailSyncAfter(rapid.IntRange(0, 12).Draw(t, "operations"))
+	default:
+		changeMembers(t, c)
+	}
+	return fmt.Sprint(action, m.name)
+}
+
+func changeMembers(t *rapid.T, c *cluster) {
+	l := c.leader()
+	if l == nil {
+		return
+	}
+	now := c.clock(l)
+	name := fmt.Sprintf("m%d", rapid.IntRange(0, 6).Draw(t, "name"))
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		if _, ok := c.members[name]; !ok {
+			c.add(name)
+		}
+		_, _ = l.core.AddLearner(now, journaler.Member{
+			Name: name,
+		})
+	case 1:
+		voters := 0
+		for _, m := range l.core.Members() {
+			if !m.Learner {
+				voters++
+			}
+		}
+		if voters > 3 {
+			_, _ = l.core.Remove(now, name)
+		}
+	default:
+		_, _ = l.core.Promote(now, name)
+	}
+	c.carryOut(l)
+}
+
+// No loss, delay, repetition or reordering of messages, no crash at any sync, pause, partition or member change may
+// lead to two leaders in a term, two leases at a time, or the loss of a committed entry; and once all faults have ended,
+// all members must reach the same state.
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "voters"))
+		c.loss = rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "loss")
+		c.repeat = rapid.SampledFrom([]int{0, 20}).Draw(t, "repeat")
+		c.late = rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "late")
+		c.pad = rapid.SampledFrom([]int{0, 0, 600 << 10}).Draw(t, "pad")
+		c.run(time.Second)
+		for range rapid.IntRange(5, 40).Draw(t, "faults") {
+			fault(t, c)
+			c.propose(rapid.IntRange(0, 5).Draw(t, "proposals"))
+			c.run(time.Duration(rapid.IntRange(5, 1500).Draw(t, "run")) * time.Millisecond)
+			if c.failure != nil {
+				t.Fatal(c.failure)
+			}
+		}
+		c.heal()
+		if c.failure != nil {
+			t.Fatal(c.failure)
+		}
+	})
+}
+
+func settledCluster(c *qt.C, seed uint64, voters int) *cluster {
+	cl := newCluster(seed, voters)
+	cl.heal()
+	c.Assert(cl.failure, qt.IsNil)
+	return cl
+}
+
+// A leader without a majority must stop to lead before the others can elect another.
+func TestLeaderWithoutMajorityStepsDown(t *testing.T) {
+	c := qt.New(t)
+	cl := settledCluster(c, 1, 5)
+	old := cl.leader()
+	cl.cut[old.name] = 1
+	cl.run(2 * electionTimeout)
+	_, ok := old.core.Leading(cl.clock(old))
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(old.core.Leader(), qt.Equals, "")
+	cl.run(2 * time.Second)
+	c.Assert(cl.leader(), qt.IsNotNil)
+	c.Assert(cl.failure, qt.IsNil)
+}
+
+// A voter that returns from a partition must not unseat a working leader.
+func TestReturningVoterDoesNotDisturb(t *testing.T) {
+	c := qt.New(t)
+	cl := settledCluster(c, 2, 3)
+	l := cl.leader()
+	term := l.core.Term()
+	for _, name := range cl.names() {
+		if name != l.name {
+			cl.cut[name] = 1
+			break
+		}
+	}
+	cl.run(20 * time.Second)
+	clear(cl.cut)
+	cl.run(2 * time.Second)
+	c.Assert(cl.leader(), qt.Equals, l)
+	c.Assert(l.core.Term(), qt.Equals, term)
+}
+
+// A member that missed hundreds of changes must catch up through a snapshot when the entries are gone.
+func TestCatchUpThroughSnapshot(t *testing.T) {
+	c := qt.New(t)
+	cl := settledCluster(c, 3, 3)
+	cl.pad = 600 << 10
+	l := cl.leader()
+	var late *member
+	for _, name := range cl.names() {
+		if name != l.name {
+			late = cl.members[name]
+			break
+		}
+	}
+	cl.stop(late)
+	for range 10 {
+		cl.propose(300)
+		cl.run(100 * time.Millisecond)
+	}
+	for _, name := range cl.names() {
+		if m := cl.members[name]; m != late {
+			cl.takeSnapshot(m)
+		}
+	}
+	cl.start(late.name)
+	cl.run(2 * time.Second)
+	c.Assert(cl.failure, qt.IsNil)
+	c.Assert(late.index, qt.Equals, l.index)
+	c.Assert(cl.sent["snapshot"] >= 3, qt.IsTrue)
+}
+
+// A second host that is lost right after the first was repaired must not cost a committed entry: the repaired host counts
+// as a voter only when it has caught up.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(20) {
+		cl := settledCluster(c, seed, 3)
+		cl.propose(50)
+		cl.run(100 * time.Millisecond)
+		l := cl.leader()
+		var others []*member
+		for _, name := range cl.names() {
+			if name != l.name {
+				others = append(others, cl.members[name])
+			}
+		}
+		cl.stop(others[0])
+		cl.add("m9")
+		_, err := l.core.AddLearner(cl.clock(l), journaler.Member{
+			Name: "m9",
+		})
+		c.Assert(err, qt.IsNil)
+		_, err = l.core.Promote(cl.clock(l), "m9")
+		c.Assert(errors.Is(err, replicator.ErrNotCaughtUp), qt.IsTrue, qt.Commentf("%v", err))
+		_, err = l.core.Remove(cl.clock(l), others[0].name)
+		c.Assert(errors.Is(err, replicator.ErrChangePending), qt.IsTrue, qt.Commentf("%v", err))
+		cl.carryOut(l)
+		cl.run(time.Second)
+		_, err = l.core.Remove(cl.clock(l), others[0].name)
+		c.Assert(err, qt.IsNil)
+		cl.carryOut(l)
+		cl.run(200 * time.Millisecond)
+		_, err = l.core.Promote(cl.clock(l), "m9")
+		c.Assert(err, qt.IsNil)
+		cl.carryOut(l)
+		cl.run(time.Duration(cl.rng.IntN(20)) * 5 * time.Millisecond)
+		cl.stop(others[1])
+		cl.run(4 * time.Second)
+		cl.propose(1)
+		cl.run(time.Second)
+		c.Assert(cl.failure, qt.IsNil)
+		c.Assert(cl.members["m9"].index, qt.Equals, uint64(len(cl.committed)))
+	}
+}
