Bound bodies held by a host, and cut the escaped path

Cause: the service was cut from the decoded and from the escaped path separately; with an escaped slash in the first segment the two hosts of a forwarded request could find different keys. Up to 4,096 bodies of 1 MB could be held. An idle connection counted as closed once the deadline of its last request had passed. Conclusion: both hosts of a forwarded request find the same key.

--- a/router/accept.go
+++ b/router/accept.go
@@ -28,7 +28,10 @@
 
 // accept reads a caller's request and checks it against the limits of its service.
 func (x *exchange) accept(req *http.Request) *sender.Fault {
-	service, path, uri := splitService(req.URL)
+	service, uri, err := splitService(req.URL)
+	if err != nil {
+		return refusal(http.StatusBadRequest, "badRequest", err)
+	}
 	if f := x.find(service); f != nil {
 		return f
 	}
@@ -53,7 +56,7 @@
 	}
 	strip(h)
 	x.method, x.uri, x.host, x.header = req.Method, uri, req.Host, h
-	if f := x.findKey(path, req.URL.RawQuery); f != nil {
+	if f := x.findKey(); f != nil {
 		return f
 	}
 	return x.readBody(req)
@@ -78,18 +81,20 @@
 	return nil
 }
 
-// findKey finds the key. A shared service needs none.
-func (x *exchange) findKey(path, query string) *sender.Fault {
+// findKey finds the key in the request as it goes to the target, so that each host finds the same one. A shared service
+// needs none.
+func (x *exchange) findKey() *sender.Fault {
+	u, err := url.ParseRequestURI(x.uri)
+	if err != nil {
+		return refusal(http.StatusBadRequest, "badRequest", err)
+	}
 	k, err := x.keyer()
 	if err != nil {
 		return sender.NewFault("notReady", http.StatusServiceUnavailable, err)
 	}
 	view := http.Request{
 		Header: x.header,
-		URL: &url.URL{
-			Path:     path,
-			RawQuery: query,
-		},
+		URL:    u,
 	}
 	key, err := k.Key(&view)
 	if err != nil && x.service.Keyed {
@@ -117,6 +122,14 @@
 		return tooLong(limit)
 	}
 	if req.ContentLength != 0 && req.Body != nil {
+		n := req.ContentLength
+		if n < 0 {
+			n = limit
+		}
+		if !x.router.room.reserve(n) {
+			return sender.Refused(sender.ReasonOverloaded, "host has no room for more request bodies")
+		}
+		x.reserved = n
 		rc := http.NewResponseController(x.w)
 		_ = rc.SetReadDeadline(x.deadline)
 		body, err := readAll(req.Body, req.ContentLength, limit)
--- a/router/forward.go
+++ b/router/forward.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -21,6 +20,9 @@
 	// maxHops bounds the hosts that one request passes: one that knows only the data centre of a slot, and the
 	// dispatching host.
 	maxHops = 2
+	// peerMargin is taken off the deadline for the other host, so that its statement that a request was not run arrives
+	// before this host has to say that it does not know. It covers a round trip between data centres (3 ms).
+	peerMargin = 5 * time.Millisecond
 	// peerConnections bounds the connections to one host: its targets (20, with 4 request slots and a queue of 64 each)
 	// have room for no more requests.
 	peerConnections = 1024
@@ -32,7 +34,7 @@
 		return nil, nil, sender.Refused(sender.ReasonStaleRoute, "no way to the dispatching host of the target")
 	}
 	epoch := strconv.FormatUint(uint64(route.Epoch), 10)
-	deadline := strconv.FormatInt(max(1, time.Until(x.deadline).Milliseconds()), 10)
+	deadline := strconv.FormatInt(max(1, (time.Until(x.deadline)-peerMargin).Milliseconds()), 10)
 	hops := strconv.Itoa(x.hops + 1)
 	sum := x.router.signer.sign(x.body, x.service.Name, route.Target, epoch, x.identity, deadline, hops, x.caller, x.method, x.uri)
 	fields := []sender.Field{
@@ -50,6 +52,7 @@
 	}
 	resp, f := x.router.sender.Send(ctx, &sender.Request{
 		Addr:        route.Peer,
+		TLS:         x.router.opts.PeerTLS,
 		Method:      x.method,
 		URI:         x.uri,
 		Host:        x.host,
@@ -123,11 +126,7 @@
 	x.method, x.uri, x.host, x.header = req.Method, req.RequestURI, req.Host, h
 	epoch, deadline, hops, sum := h.Get("Bramleyline-Epoch"), h.Get("Bramleyline-Deadline"), h.Get("Bramleyline-Hops"), h.Get("Bramleyline-Signature")
 	strip(h)
-	u, err := url.ParseRequestURI(x.uri)
-	if err != nil {
-		return refusal(http.StatusBadRequest, "badRequest", err)
-	}
-	if f := x.findKey(u.Path, u.RawQuery); f != nil {
+	if f := x.findKey(); f != nil {
 		return f
 	}
 	if f := x.readBody(req); f != nil {
--- a/router/header.go
+++ b/router/header.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"bramleyline.example/bramleyline/configurer"
 )
 
@@ -52,22 +54,18 @@
 }
 
 // splitService takes the first segment, which names the service, from the path of u. It returns the rest of the path
-// decoded, and escaped with the query as it goes to the target.
-func splitService(u *url.URL) (service, path, uri string) {
-	service, path = cutSegment(u.Path)
-	uri = path
-	if u.RawPath != "" {
-		_, uri = cutSegment(u.RawPath)
-	} else {
-		escaped := url.URL{
-			Path: path,
-		}
-		uri = escaped.EscapedPath()
+// escaped, with the query, as it goes to the target and to other hosts. It cuts the escaped path: an escaped slash is
+// part of a segment, and the dispatching host has to find the same key as this one.
+func splitService(u *url.URL) (service, uri string, err error) {
+	segment, rest := cutSegment(u.EscapedPath())
+	service, err = url.PathUnescape(segment)
+	if err != nil {
+		return "", "", errors.Wrap(err, "first segment of the path")
 	}
 	if u.RawQuery != "" || u.ForceQuery {
-		uri += "?" + u.RawQuery
+		rest += "?" + u.RawQuery
 	}
-	return service, path, uri
+	return service, rest, nil
 }
 
 func cutSegment(path string) (segment, rest string) {
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -9,6 +9,9 @@
 	"bramleyline.example/bramleyline/sender"
 )
 
+// refusedTime is how long a target that refused a request is taken to have a full queue.
+const refusedTime = 100 * time.Millisecond
+
 // race is a first attempt and a hedged one. The first answer wins, and the other attempt is cancelled.
 type race struct {
 	mu     sync.Mutex
@@ -92,10 +95,22 @@
 func (x *exchange) counted(ctx context.Context, t *locator.Table, route *locator.Route) (*sender.Response, *sender.Fault) {
 	c, start := &x.state.chooser, time.Now()
 	c.Begin(t, route, start)
-	resp, _, f := x.send(ctx, 0, route)
+	resp, _, f := x.send(ctx, way{
+		table: t,
+		route: route,
+	})
 	if f != nil {
-		said := f.Reason == sender.ReasonCancelled || f.Reason == "suspect"
-		c.End(t, route, time.Now(), 0, false, !said)
+		now := time.Now()
+		switch f.Reason {
+		case sender.ReasonCancelled, "suspect":
+			c.End(t, route, now, 0, false, false)
+		case sender.ReasonOverloaded, "cold", "draining", sender.ReasonStaleRoute:
+			// A target that refuses is not faulty, but its short answers must not draw more requests to it.
+			c.End(t, route, now, 0, false, false)
+			c.Report(t, route, float64(x.service.Limits.QueueLimit+x.service.Limits.TargetSlots), now, refusedTime)
+		default:
+			c.End(t, route, now, 0, false, true)
+		}
 		return nil, f
 	}
 	x.reported(t, route, resp)
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 	Locator *locator.Current
 	// PeerKey is the system key with which hosts sign the requests that they forward.
 	PeerKey string
+	// PeerTLS is used for connections to other hosts' peer addresses; nil means plain TCP.
+	PeerTLS *tls.Config
 	// Seed makes identities and choices repeatable in tests. Zero means random, which a host needs: two processes with
 	// the same seed would give the same identities.
 	Seed uint64
--- a/router/service.go
+++ b/router/service.go
@@ -50,15 +50,29 @@
 	return next[name]
 }
 
-// roomLimit bounds the requests that a host holds, waiting or in progress. With bodies of 1 MB, the default bound, they
-// take at most 4 GB; with the few KB of the services at hand, a few MB.
-const roomLimit = 4096
+const (
+	// roomLimit bounds the requests that a host holds, waiting or in progress: 20 targets with 4 request slots and a queue
+	// of 64 each take 1,360, and as many may be on their way to other hosts.
+	roomLimit = 4096
+	// bodyLimit bounds the bytes of all request bodies that a host holds, as they are read before anything is sent.
+	bodyLimit = 256 << 20
+)
 
 // room divides the places of a host among services by weight. A service may always use its share, and may borrow as
 // long as half of the room is free, so that a service that comes back finds its share.
 type room struct {
 	limit int64
 	held  atomic.Int64
+	bytes atomic.Int64
+}
+
+// reserve takes room for a body of n bytes and reports whether there was enough.
+func (m *room) reserve(n int64) bool {
+	if m.bytes.Add(n) <= bodyLimit {
+		return true
+	}
+	m.bytes.Add(-n)
+	return false
 }
 
 // enter takes a place and reports whether there was one.
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -141,6 +141,8 @@
 	if cap(c.buf) > 4*inlineBody {
 		c.buf = nil
 	}
+	// The check before the next use fails on a connection whose deadline has passed.
+	_ = c.SetDeadline(time.Time{})
 	c.pool.release(c)
 }
 
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -20,6 +20,7 @@
 type conn struct {
 	net.Conn
 	pool    *pool
+	raw     syscall.RawConn
 	br      *bufio.Reader
 	buf     []byte
 	left    int64
@@ -29,12 +30,16 @@
 	idle   time.Time
 }
 
-func newConn(c net.Conn, p *pool) *conn {
+// newConn makes a conn that sends over c. The socket below it, which differs with TLS, is looked at before each reuse.
+func newConn(c, socket net.Conn, p *pool) *conn {
 	cn := conn{
 		Conn: c,
 		pool: p,
 		left: math.MaxInt64,
 	}
+	if sc, ok := socket.(syscall.Conn); ok {
+		cn.raw, _ = sc.SyscallConn()
+	}
 	cn.br = bufio.NewReaderSize(&cn, 4096)
 	return &cn
 }
@@ -72,16 +77,11 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	alive := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, err := syscall.Read(int(fd), one[:])
 		alive = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -75,7 +76,7 @@
 }
 
 // dial opens a connection; the caller has acquired its place before.
-func (p *pool) dial(ctx context.Context, d *net.Dialer) (*conn, error) {
+func (p *pool) dial(ctx context.Context, d *net.Dialer, config *tls.Config) (*conn, error) {
 	// An idle connection and the one to be opened together must not exceed the bound.
 	p.mu.Lock()
 	var spare *conn
@@ -91,7 +92,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c, p), nil
+	if config == nil {
+		return newConn(c, c, p), nil
+	}
+	secure := tls.Client(c, config)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return newConn(secure, c, p), nil
 }
 
 // release gives a place back; c is kept for another request unless it is nil.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math"
 	"net"
 	"net/http"
@@ -42,6 +43,8 @@
 	Deadline time.Time
 	// Connections bounds the open connections to Addr.
 	Connections int
+	// TLS is used for the connection; nil means plain TCP.
+	TLS *tls.Config
 	// Check is called immediately before the first byte is written; an error turns the request away. It may be nil.
 	Check func() error
 }
@@ -88,7 +91,7 @@
 		return nil, NewFault(ReasonOverloaded, http.StatusServiceUnavailable, errors.Wrap(err, "no free connection"))
 	}
 	if c == nil {
-		if c, err = p.dial(ctx, &s.dialer); err != nil {
+		if c, err = p.dial(ctx, &s.dialer, r.TLS); err != nil {
 			p.release(nil)
 			return nil, NewFault(ReasonUnreachable, http.StatusServiceUnavailable, err)
 		}
