Wire a host process, the demo and tests with real processes

Cause: the parts existed on their own; nothing served a request from end to end.

Change: package server opens the listeners and runs log, ownership, router and operators' API by the host's roles; demonstrator runs hosts in two data centres with emulated targets; process tests start real hosts behind a fault-injecting proxy.

--- a/main.go
+++ b/main.go
@@ -2,9 +2,16 @@
 package main
 
 import (
+	"context"
 	"os"
 
+	"github.com/pkg/errors"
+	"golang.org/x/term"
+
 	"bramleyline.example/bramleyline/commander"
+	"bramleyline.example/bramleyline/demonstrator"
+	"bramleyline.example/bramleyline/server"
+	"bramleyline.example/bramleyline/settler"
 )
 
 func main() {
@@ -12,6 +19,36 @@
 		Args:   os.Args[1:],
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
+		Serve:  serve,
+		Demo:   demo,
 	}
 	os.Exit(c.Run())
 }
+
+// serve runs one host until ctx ends, and stops it gracefully.
+func serve(ctx context.Context, settings settler.Settings) error {
+	s, err := server.New(settings, server.WithLog(os.Stderr))
+	if err != nil {
+		return err
+	}
+	if err := s.Start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.Failed():
+		s.Kill()
+		return s.Err()
+	}
+	return errors.Wrap(s.Stop(context.WithoutCancel(ctx)), "stop")
+}
+
+// demo runs a deployment with emulated targets in this process.
+func demo(ctx context.Context, o commander.DemoOptions) error {
+	d := demonstrator.Demonstrator{
+		Out:      os.Stdout,
+		For:      o.For,
+		Progress: term.IsTerminal(int(os.Stdout.Fd())),
+	}
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/process_test.go
@@ -0,0 +1,426 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/emulator"
+	"bramleyline.example/bramleyline/injector"
+	"bramleyline.example/bramleyline/loader"
+)
+
+// The keys of the processes of a test.
+const (
+	systemKey   = "test-system-key-0000"
+	targetKey   = "test-target-key-0000"
+	operatorKey = "test-operator-key-00"
+)
+
+// baseText is the configuration of the tests. The hold is long, so that no key of a cut-off data centre may go
+// elsewhere during a test.
+const baseText = `[deployment]
+name = proof
+region = loopback
+
+[timing]
+balancerWait = 300ms
+stopWait = 10s
+
+[dataCentre north]
+[dataCentre south]
+[dataCentre west]
+
+[service tally]
+kind = keyed
+key = path:1
+slots = 48
+cutOffHold = 10m
+
+[service payroll]
+kind = shared
+`
+
+var binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "bramleyline-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(folder, "bramleyline")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// process is one host as a process of its own.
+type process struct {
+	name     string
+	dc       string
+	control  bool
+	file     string
+	caller   netip.AddrPort
+	peer     netip.AddrPort
+	rpc      netip.AddrPort
+	announce netip.AddrPort
+	operator netip.AddrPort
+	cmd      *exec.Cmd
+	exited   chan error
+	log      *os.File
+}
+
+// deployment is a set of host processes with emulated targets in the test's process. All connections between hosts,
+// and between hosts and targets, go through the links of a fault-injecting proxy.
+type deployment struct {
+	c       *qt.C
+	folder  string
+	network *injector.Injector
+	hosts   []*process
+	targets []*emulator.Emulator
+	// version is the configuration version that was stored last.
+	version int
+}
+
+// startDeployment starts two hosts and five targets in each of three data centres, and waits until each slot is served.
+// Three hosts, one in each data centre, are voters.
+func startDeployment(t *testing.T) *deployment {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	c := qt.New(t)
+	d := &deployment{
+		c:       c,
+		folder:  t.TempDir(),
+		network: &injector.Injector{},
+	}
+	t.Cleanup(d.close)
+	for _, dc := range []string{"north", "south", "west"} {
+		for i := range 2 {
+			d.hosts = append(d.hosts, &process{
+				name:     fmt.Sprintf("%s-%d", dc, i+1),
+				dc:       dc,
+				control:  i == 0,
+				caller:   freeAddr(c),
+				peer:     freeAddr(c),
+				rpc:      freeAddr(c),
+				announce: freeAddr(c),
+				operator: freeAddr(c),
+			})
+		}
+	}
+	for _, h := range d.hosts {
+		d.writeSettings(h)
+	}
+	for _, h := range d.hosts {
+		d.start(h)
+	}
+	d.apply(baseText)
+	for _, dc := range []string{"north", "south", "west"} {
+		for i := range 3 {
+			d.addTarget("tally", dc, i+1)
+		}
+		for i := range 2 {
+			d.addTarget("payroll", dc, i+1)
+		}
+	}
+	d.awaitOwners()
+	return d
+}
+
+func freeAddr(c *qt.C) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// writeSettings writes the settings of h. It reaches each other host through links of its own, so that a test can cut
+// one direction between two hosts.
+func (d *deployment) writeSettings(h *process) {
+	var voters, others, translation []string
+	for _, o := range d.hosts {
+		entry := fmt.Sprintf("%s@%s", o.name, o.rpc)
+		if o.control {
+			voters = append(voters, entry)
+		} else {
+			others = append(others, entry)
+		}
+		if o == h {
+			continue
+		}
+		for _, addr := range []netip.AddrPort{o.rpc, o.peer} {
+			link, err := d.network.Open(h.name, o.name, netip.MustParseAddrPort("127.0.0.1:0"), addr)
+			d.c.Assert(err, qt.IsNil)
+			translation = append(translation, fmt.Sprintf("%s>%s", addr, link))
+		}
+	}
+	roles := "entry"
+	if h.control {
+		roles = "entry, control\ndataFolder = " + filepath.Join(d.folder, h.name)
+	}
+	h.file = filepath.Join(d.folder, h.name+".ini")
+	text := fmt.Sprintf(`[host]
+name = %s
+dataCentre = %s
+roles = %s
+logLevel = info
+logFormat = logfmt
+
+[listen]
+caller = %s
+peer = %s
+rpc = %s
+announce = %s
+operator = %s
+
+[control]
+voters = %s
+hosts = %s
+
+[network]
+translation = %s
+
+[keys]
+system = %s
+target = %s
+operator = %s
+`, h.name, h.dc, roles, h.caller, h.peer, h.rpc, h.announce, h.operator, strings.Join(voters, ", "),
+		strings.Join(others, ", "), strings.Join(translation, ", "), systemKey, targetKey, operatorKey)
+	d.c.Assert(os.WriteFile(h.file, []byte(text), 0o600), qt.IsNil)
+}
+
+func (d *deployment) start(h *process) {
+	log, err := os.OpenFile(filepath.Join(d.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	d.c.Assert(err, qt.IsNil)
+	h.log = log
+	h.cmd = exec.Command(binary, "serve", "-settings", h.file)
+	h.cmd.Stderr = log
+	h.cmd.Stdout = log
+	d.c.Assert(h.cmd.Start(), qt.IsNil)
+	h.exited = make(chan error, 1)
+	go func(cmd *exec.Cmd, exited chan error) {
+		exited <- cmd.Wait()
+		close(exited)
+	}(h.cmd, h.exited)
+}
+
+func (d *deployment) signal(h *process, s syscall.Signal) {
+	d.c.Assert(h.cmd.Process.Signal(s), qt.IsNil)
+}
+
+// kill ends a host as a crash does.
+func (d *deployment) kill(h *process) {
+	d.signal(h, syscall.SIGKILL)
+	<-h.exited
+}
+
+func (d *deployment) close() {
+	for _, e := range d.targets {
+		_ = e.Close()
+	}
+	for _, h := range d.hosts {
+		if h.cmd == nil {
+			continue
+		}
+		_ = h.cmd.Process.Signal(syscall.SIGCONT)
+		_ = h.cmd.Process.Kill()
+		<-h.exited
+		_ = h.log.Close()
+		if d.c.Failed() {
+			text, _ := os.ReadFile(filepath.Join(d.folder, h.name+".log"))
+			d.c.Logf("log of %s:\n%s", h.name, text)
+		}
+	}
+	_ = d.network.Close()
+}
+
+// command runs an operator's command against all hosts and returns its output and exit code.
+func (d *deployment) command(args ...string) (string, int) {
+	keyFile := filepath.Join(d.folder, "operator.key")
+	d.c.Assert(os.WriteFile(keyFile, []byte(operatorKey), 0o600), qt.IsNil)
+	var addrs []string
+	for _, h := range d.hosts {
+		addrs = append(addrs, h.operator.String())
+	}
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), "BRAMLEYLINE_HOST="+strings.Join(addrs, ","), "BRAMLEYLINE_KEYFILE="+keyFile)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// apply stores a base file as the next version, and tries again until the control group has a leader.
+func (d *deployment) apply(text string) {
+	file := filepath.Join(d.folder, "base.ini")
+	d.c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	var out string
+	ok := eventually(func() bool {
+		var code int
+		out, code = d.command("apply", "-expect", fmt.Sprint(d.version), file)
+		return code == 0
+	})
+	d.c.Assert(ok, qt.IsTrue, qt.Commentf("%s", out))
+	d.version++
+}
+
+// addTarget starts an emulated target whose connections go through links.
+func (d *deployment) addTarget(service, dc string, n int) *emulator.Emulator {
+	name := fmt.Sprintf("%s-%s-%d", service, dc, n)
+	listen := freeAddr(d.c)
+	var announce []netip.AddrPort
+	advertise, err := d.network.Open(dc+"-host", name, netip.MustParseAddrPort("127.0.0.1:0"), listen)
+	d.c.Assert(err, qt.IsNil)
+	for _, h := range d.hosts {
+		if h.dc == dc {
+			announce = append(announce, h.announce)
+		}
+	}
+	e := emulator.New(emulator.Options{
+		Name:       name,
+		Service:    service,
+		DataCentre: dc,
+		Token:      targetKey,
+		Listen:     listen,
+		Advertise:  advertise,
+		Announce:   announce,
+		Seed:       uint64(len(d.targets) + 1),
+		Warm:       true,
+	})
+	d.c.Assert(e.Start(), qt.IsNil)
+	d.targets = append(d.targets, e)
+	return e
+}
+
+func (d *deployment) target(name string) *emulator.Emulator {
+	for _, e := range d.targets {
+		if e.Name() == name {
+			return e
+		}
+	}
+	d.c.Fatalf("no target %s", name)
+	return nil
+}
+
+func (d *deployment) host(name string) *process {
+	for _, h := range d.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	d.c.Fatalf("no host %s", name)
+	return nil
+}
+
+func (d *deployment) dataCentre(name string) []*process {
+	var hosts []*process
+	for _, h := range d.hosts {
+		if h.dc == name {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// awaitOwners waits until the status of the first host that answers shows an owner for each slot.
+func (d *deployment) awaitOwners() {
+	var out string
+	ok := eventually(func() bool {
+		var code int
+		out, code = d.command("status", "-json")
+		return code == 0 && strings.Contains(out, `"unowned": 0`) && !strings.Contains(out, `"targets": 0`)
+	})
+	d.c.Assert(ok, qt.IsTrue, qt.Commentf("%s", out))
+}
+
+// load sends mixed traffic to hosts for a time, while f induces a failure, and returns what callers were told.
+func (d *deployment) load(hosts []*process, length time.Duration, f func()) []loader.Record {
+	var entries []netip.AddrPort
+	for _, h := range hosts {
+		entries = append(entries, h.caller)
+	}
+	l := loader.New(loader.Options{
+		Entries:    entries,
+		Rate:       250,
+		Duration:   length,
+		Count:      20000,
+		Seed:       7,
+		Resends:    3,
+		ResendLost: true,
+		Mix: []loader.Traffic{
+			{
+				Service:    "tally",
+				Share:      3,
+				Key:        "path:1",
+				Keys:       400,
+				WriteShare: 0.4,
+			},
+			{
+				Service:    "payroll",
+				Share:      1,
+				WriteShare: 0.2,
+			},
+		},
+	})
+	d.c.Assert(l.Start(), qt.IsNil)
+	f()
+	<-l.Done()
+	return l.Records()
+}
+
+// patience bounds a wait for something that has to happen; it is far beyond every bound of the design, so that a busy
+// machine does not fail a test.
+const patience = 30 * time.Second
+
+func eventually(ok func() bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return true
+}
+
+func writeFile(file, text string) error {
+	return os.WriteFile(file, []byte(text), 0o600)
+}
+
+// post sends one non-idempotent request with an identity and returns the status, zero without an answer.
+func post(entry netip.AddrPort, path, body, identity string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry.String()+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Idempotency-Key", identity)
+	client := http.Client{
+		Timeout: 5 * time.Second,
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- /dev/null
+++ b/server/parts.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/controller"
+	"bramleyline.example/bramleyline/follower"
+	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/participant"
+	"bramleyline.example/bramleyline/proposer"
+	"bramleyline.example/bramleyline/router"
+)
+
+// connect makes both sides of the messages between hosts.
+func (s *Server) connect() error {
+	key := []byte(s.settings.Keys.System)
+	s.messenger = &messenger.Messenger{
+		Key:  key,
+		Dial: s.dial,
+	}
+	s.rpc = &messenger.Listener{
+		Key: key,
+	}
+	s.proposer = &proposer.Proposer{
+		Messenger: s.messenger,
+		Hosts:     s.controlHosts,
+	}
+	return s.registerFacts()
+}
+
+// controlHosts returns the control hosts of the state, or those of the settings until the state names any.
+func (s *Server) controlHosts() map[string]netip.AddrPort {
+	hosts := make(map[string]netip.AddrPort)
+	for name, addr := range s.settings.Voters {
+		hosts[name] = addr
+	}
+	if s.source == nil {
+		return hosts
+	}
+	for name, h := range s.source.State().Hosts {
+		if h.Control && h.RPC.IsValid() {
+			hosts[name] = h.RPC
+		}
+	}
+	return hosts
+}
+
+// startState runs the log on a control host, and pulls the state from control hosts elsewhere.
+func (s *Server) startState() error {
+	if !s.settings.Roles.Control {
+		s.follower = follower.New(s.messenger, s.sources(), s.logger)
+		s.source = s.follower
+		s.follower.Start()
+		return nil
+	}
+	c, err := controller.New(
+		controller.WithName(s.settings.Name),
+		controller.WithVoters(s.settings.Voters),
+		controller.WithDataFolder(s.settings.DataFolder),
+		controller.WithMessenger(s.messenger),
+		controller.WithSeed(s.incarnation),
+		controller.WithLogger(s.logger),
+	)
+	if err != nil {
+		return err
+	}
+	if err := c.Register(s.rpc); err != nil {
+		return err
+	}
+	s.controller = c
+	s.source = c
+	return c.Start()
+}
+
+// sources lists the control hosts in the order of the settings' names.
+func (s *Server) sources() []follower.Source {
+	var sources []follower.Source
+	for name, addr := range s.settings.Voters {
+		sources = append(sources, follower.Source{
+			Name: name,
+			Addr: addr,
+		})
+	}
+	return sources
+}
+
+func (s *Server) record() applier.Host {
+	l := s.Listen()
+	return applier.Host{
+		Name:        s.settings.Name,
+		Incarnation: s.incarnation,
+		DataCentre:  s.settings.DataCentre,
+		Control:     s.settings.Roles.Control,
+		Peer:        l.Peer,
+		RPC:         l.RPC,
+		Announce:    l.Announce,
+	}
+}
+
+// startOwnership runs this host's part in ownership, and makes the router, which reads its routing table.
+func (s *Server) startOwnership() error {
+	var leading func(now time.Time) (time.Time, bool)
+	if s.controller != nil {
+		leading = s.controller.Leading
+	}
+	p, err := participant.New(participant.Options{
+		Host:      s.record(),
+		Voters:    s.settings.Voters,
+		Source:    s.source,
+		Proposer:  s.proposer,
+		Leading:   leading,
+		Messenger: s.messenger,
+		Config:    s.Config,
+		Token:     s.settings.Keys.Target,
+	})
+	if err != nil {
+		return err
+	}
+	s.participant = p
+	s.current = p.Current()
+	s.router = router.New(router.Options{
+		Host:       s.settings.Name,
+		DataCentre: s.settings.DataCentre,
+		Config:     s.Config,
+		Locator:    s.current,
+		PeerKey:    s.settings.Keys.System,
+		Dial:       s.dial,
+		Sketch:     newSketch,
+	})
+	p.SetTraffic(s.router.Traffic())
+	if err := p.Register(s.rpc); err != nil {
+		return errors.Wrap(err, "register ownership services")
+	}
+	p.Start()
+	return nil
+}
+
+func (s *Server) startTraffic() {
+	if s.listeners.announce != nil {
+		s.announce = serveHTTP(s.listeners.announce, s.participant.Handler(), nil)
+	}
+	if s.listeners.peer != nil {
+		s.peer = serveHTTP(s.listeners.peer, s.router.Peer(), nil)
+	}
+	if s.listeners.caller != nil {
+		s.caller = serveHTTP(s.listeners.caller, s.router, nil)
+	}
+}
--- /dev/null
+++ b/server/stop.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"bramleyline.example/bramleyline/configurer"
+)
+
+// Stop stops the host gracefully. Readiness goes off first; the host goes on accepting for as long as the balancer
+// needs to see that, then closes its listeners, waits for the requests in progress, and stops the other parts last.
+//
+// It returns an error if requests were still in progress when ctx or the configured wait ended.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	timing := s.timing()
+	wait(ctx, timing.BalancerWait)
+
+	ctx, cancel := context.WithTimeout(ctx, timing.StopWait)
+	defer cancel()
+	var failure error
+	for _, l := range []*httpListener{s.caller, s.peer} {
+		if l == nil {
+			continue
+		}
+		if err := l.stop(ctx); err != nil && failure == nil {
+			failure = err
+		}
+	}
+	if err := s.router.Drain(ctx); err != nil && failure == nil {
+		failure = err
+	}
+	s.closeParts()
+	return failure
+}
+
+// Kill ends the host at once, as a lost process does: nothing is drained and no other host is told.
+func (s *Server) Kill() {
+	s.stopping.Store(true)
+	for _, l := range []*httpListener{s.caller, s.peer} {
+		if l != nil {
+			l.kill()
+		}
+	}
+	s.closeParts()
+}
+
+func (s *Server) closeParts() {
+	s.cancel()
+	<-s.watched
+	if s.announce != nil {
+		s.announce.kill()
+	}
+	_ = s.participant.Close()
+	if s.follower != nil {
+		_ = s.follower.Close()
+	}
+	if s.controller != nil {
+		_ = s.controller.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = s.operator.Close(ctx)
+	_ = s.messenger.Close()
+	_ = s.rpc.Close()
+	_ = s.notifier.Close()
+	close(s.done)
+}
+
+func (s *Server) timing() configurer.Timing {
+	if cfg := s.Config(); cfg != nil {
+		return cfg.Timing
+	}
+	return configurer.DefaultTiming()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
