--- a/commander/remote_test.go
+++ b/commander/remote_test.go
@@ -15,49 +15,30 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/checker"
 	"bramleyline.example/bramleyline/fencer"
+	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/merger"
 	"bramleyline.example/bramleyline/operator"
 )
 
 const zbiorka = "../examples/zbiorka/"
 
-// fakeControl accepts each configuration that expects the version in force, and each takeout.
+// fakeControl applies commands to the real state machine.
 type fakeControl struct {
 	mu sync.Mutex
-	st applier.State
+	st *applier.State
 }
 
 func (f *fakeControl) State() *applier.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	st := f.st
-	return &st
+	return f.st
 }
 
 func (f *fakeControl) Propose(_ context.Context, cmd applier.Command) (applier.Result, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.st.Index++
-	res := applier.Result{Index: f.st.Index}
-	if set := cmd.SetService; set != nil {
-		f.st.DataCentres = map[string]applier.DataCentre{
-			set.DataCentre: {Out: set.Out, Changed: applier.ServiceChange{Operator: set.Operator, At: set.At}},
-		}
-		return res, nil
-	}
-	put := cmd.PutConfig
-	if put.Expect != f.st.Config.Version {
-		res.Refusal = "another version is in force"
-		if n := int(put.Expect); n < len(f.st.History) {
-			res.Winner = &f.st.History[n]
-		}
-		return res, nil
-	}
-	f.st.Config = applier.StoredConfig{
-		Version: put.Expect + 1, Digest: put.Digest, Operator: put.Operator, At: put.At, Base: put.Base,
-		Overlays: put.Overlays,
-	}
-	f.st.History = append(f.st.History, f.st.Config)
+	next, res := f.st.Apply(f.st.Index+1, cmd)
+	f.st = next
 	return res, nil
 }
 
@@ -75,7 +56,7 @@
 	c := qt.New(t)
 	f := hostFixture{
 		c:       c,
-		control: &fakeControl{},
+		control: &fakeControl{st: &applier.State{}},
 	}
 	overlays, err := filepath.Glob(zbiorka + "overlays/*.ini")
 	c.Assert(err, qt.IsNil)
@@ -249,25 +230,15 @@
 
 // fill gives the host a state with each kind of alarm.
 func (f *hostFixture) fill() {
-	st := &f.control.st
-	st.Index = 42
+	st := f.control.st
+	st.Index = 6
 	st.Voters = []string{"krakow-1", "krakow-2"}
 	st.Hosts = map[string]applier.Host{"bielsko-2": {Name: "bielsko-2", DataCentre: "bielsko"}}
 	change := applier.ServiceChange{Operator: "ada", At: time.Unix(1500, 0)}
 	st.DataCentres = map[string]applier.DataCentre{
-		"krakow":  {Authority: "krakow-1", InSync: map[string]uint64{"krakow-1": 1, "krakow-2": 1}},
-		"bielsko": {Authority: "bielsko-1", InSync: map[string]uint64{"bielsko-1": 1}, Out: true, Changed: change},
+		"bielsko": {Name: "bielsko", Authority: "bielsko-1", InSync: map[string]uint64{"bielsko-1": 1}, Out: true, Changed: change},
 	}
 	st.TargetsOut = map[string]applier.ServiceChange{"tally-9": change}
-	entries := make([]applier.SlotEntry, 1024)
-	for i := range entries[:1000] {
-		entries[i] = applier.SlotEntry{DataCentre: "krakow", Target: "tally-1", Epoch: fencer.NewEpoch(7, 3)}
-	}
-	st.Slots = map[string]*applier.SlotTable{
-		"tally": {Entries: entries, HotKeys: map[string]applier.SlotEntry{
-			"hot-picker": {DataCentre: "bielsko", Target: "tally-2", Epoch: fencer.NewEpoch(9, 1)},
-		}},
-	}
 	f.facts = operator.Facts{
 		Hosts: []operator.HostFacts{
 			{Name: "krakow-1", DataCentre: "krakow", Reachable: true, ConfigVersion: 1, ConfigAge: time.Hour, Index: 42},
@@ -285,6 +256,33 @@
 		},
 		Violations: 1,
 	}
+	slots := make([]keyer.Slot, 1000)
+	owners := make([]applier.OwnerChange, len(slots))
+	for i := range slots {
+		slots[i] = keyer.Slot(i)
+		owners[i] = applier.OwnerChange{Slot: slots[i], Target: "tally-1", Epoch: fencer.NewEpoch(9, 3)}
+	}
+	hot := keyer.Slot(0)
+	for k, _ := keyer.New("path:1", 1024); hot == 0; {
+		hot = k.Slot("hot-picker")
+	}
+	for _, cmd := range []applier.Command{
+		{NameAuthority: &applier.NameAuthorityMsg{DataCentre: "krakow", Host: "krakow-1", Incarnation: 1}},
+		{SetInSync: &applier.SetInSyncMsg{
+			DataCentre: "krakow", AuthorityIndex: 7, InSync: map[string]uint64{"krakow-1": 1, "krakow-2": 1},
+		}},
+		{Delegate: &applier.DelegateMsg{Service: "tally", Slots: slots, DataCentre: "krakow"}},
+		{Assign: &applier.AssignMsg{
+			DataCentre: "krakow", AuthorityIndex: 7, Service: "tally", Owners: owners,
+			HotKeys: map[string]applier.OwnerChange{
+				"hot-picker": {Slot: hot, Target: "tally-2", Epoch: fencer.NewEpoch(9, 1)},
+			},
+		}},
+	} {
+		res, err := f.control.Propose(f.c.Context(), cmd)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(res.Refusal, qt.Equals, "")
+	}
 }
 
 // The status of a deployment whose configuration this program cannot read must still be shown.
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 	"unicode"
 
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/checker"
-	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/merger"
 	"bramleyline.example/bramleyline/presenter"
 )
@@ -18,6 +18,12 @@
 // maxOperatorBytes bounds the name that an operator gives, which is kept with each version.
 const maxOperatorBytes = 64
 
+// catchUpTimeout bounds the wait for a change that was accepted elsewhere: a host that is behind for longer is cut off.
+const (
+	catchUpTimeout  = time.Second
+	catchUpInterval = 5 * time.Millisecond
+)
+
 // statusCodes are the HTTP codes of outcomes.
 var statusCodes = map[presenter.Outcome]int{
 	presenter.Applied:    http.StatusOK,
@@ -54,7 +60,7 @@
 		return applied(&v, st.Index)
 	}
 	report := checker.Checker{
-		InForce: servicesInForce(st),
+		InForce: o.servicesInForce(st),
 	}.CheckTexts(req.Base, req.Overlays)
 	if !report.OK() {
 		a := presenter.Answer{
@@ -95,15 +101,19 @@
 	switch {
 	case err != nil:
 		return unknown(err)
-	case res.Refusal == "" && res.Winner == nil:
+	case res.Refusal == "":
+		o.log("configuration accepted", "version", req.Expect+1, "digest", digest, "operator", req.Operator)
+		// The accepted one may be an earlier request of the same text, whose operator and time are the ones to tell.
+		o.catchUp(ctx, res.Index)
+		if v, ok := versionOf(o.state(), req.Expect+1); ok {
+			return applied(&v, res.Index)
+		}
 		return applied(&applier.StoredConfig{
 			Version:  req.Expect + 1,
 			Digest:   digest,
 			Operator: req.Operator,
 			At:       at,
 		}, res.Index)
-	case res.Winner != nil && res.Winner.Digest == digest:
-		return applied(res.Winner, res.Index)
 	case res.Winner != nil:
 		return presenter.Answer{
 			Outcome: presenter.LostRace,
@@ -114,7 +124,7 @@
 			Version: wireVersion(res.Winner, false),
 		}
 	}
-	return refused("%s; version %d is in force", res.Refusal, o.state().Config.Version)
+	return refused("%s", res.Refusal)
 }
 
 func (o *Operator) propose(ctx context.Context, cmd applier.Command) (applier.Result, error) {
@@ -127,6 +137,20 @@
 	return res, err
 }
 
+// catchUp waits until this host knows the state up to index, so that what it shows next has the change in it.
+func (o *Operator) catchUp(ctx context.Context, index uint64) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	for o.state().Index < index {
+		select {
+		case <-ctx.Done():
+			counters.Add("behindLeader", 1)
+			return
+		case <-time.After(catchUpInterval):
+		}
+	}
+}
+
 func applied(v *applier.StoredConfig, index uint64) presenter.Answer {
 	return presenter.Answer{
 		Outcome: presenter.Applied,
@@ -168,33 +192,3 @@
 	}
 	return st.History[i], true
 }
-
-// servicesInForce returns the services of the configuration in force, and those of slot tables that remain of services
-// that were removed: a service that comes back must fit its table.
-func servicesInForce(st *applier.State) []configurer.Service {
-	var services []configurer.Service
-	if cfg := configOf(st); cfg != nil {
-		services = slices.Clone(cfg.Services)
-	}
-	for name, table := range st.Slots {
-		known := slices.ContainsFunc(services, func(s configurer.Service) bool { return s.Name == name })
-		if !known && table != nil {
-			services = append(services, configurer.Service{
-				Name:  name,
-				Keyed: true,
-				Slots: len(table.Entries),
-			})
-		}
-	}
-	return services
-}
-
-// configOf returns the configuration in force of the first data centre, nil if there is none. What it is used for is
-// the same in all data centres.
-func configOf(st *applier.State) *configurer.Config {
-	if st.Config.Version == 0 {
-		return nil
-	}
-	report := checker.Checker{}.CheckTexts(st.Config.Base, st.Config.Overlays)
-	return report.Any()
-}
--- a/operator/apply_test.go
+++ b/operator/apply_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -74,9 +75,12 @@
 	_, a := f.post(configurations, first)
 	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
 	f.o.Source = behind
+	f.o.Now = func() time.Time { return time.Unix(3000, 0) }
+	first.Operator = "bob"
 	_, a = f.post(configurations, first)
 	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
 	f.c.Assert(a.Version.Version, qt.Equals, uint64(2))
+	f.c.Assert(f.control.State().Config.Operator, qt.Equals, "ada")
 }
 
 // The command line may be older than the host, so the host checks the text again.
@@ -101,20 +105,26 @@
 // A service that was removed and comes back with other slots would not fit its slot table.
 func TestRemovedServiceKeepsItsSlots(t *testing.T) {
 	f := newFixture(t)
-	st := *f.control.st
-	st.Slots = map[string]*applier.SlotTable{
-		"baskets": {Entries: make([]applier.SlotEntry, 64)},
+	baskets := func(expect uint64, slots string) presenter.Apply {
+		change := f.change(expect, "ada", "32")
+		change.Base += "\n[service baskets]\nkind = keyed\nkey = path:1\nslots = " + slots + "\n"
+		return change
 	}
-	f.control.st = &st
-	change := f.change(1, "ada", "32")
-	change.Base += "\n[service baskets]\nkind = keyed\nkey = path:1\nslots = 128\n"
-	_, a := f.post(configurations, change)
+	_, a := f.post(configurations, baskets(1, "64"))
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	// Only some of the slots are delegated when the service is removed.
+	_, err := f.control.Propose(t.Context(), applier.Command{Delegate: &applier.DelegateMsg{
+		Service: "baskets", Slots: []keyer.Slot{1, 5}, DataCentre: "krakow",
+	}})
+	f.c.Assert(err, qt.IsNil)
+	without := f.change(2, "ada", "33")
+	without.Force = true
+	_, a = f.post(configurations, without)
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	_, a = f.post(configurations, baskets(3, "128"))
 	f.c.Assert(a.Outcome, qt.Equals, presenter.Invalid)
-	change.Base = strings.Replace(change.Base, "slots = 128", "slots = 64", 1)
-	_, a = f.post(configurations, change)
+	_, a = f.post(configurations, baskets(3, "64"))
 	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
-	_, ok := st.Slots["baskets"].Entry(keyer.Slot(63))
-	f.c.Assert(ok, qt.IsTrue)
 }
 
 func TestApplyThatTakesServiceAwayNeedsForce(t *testing.T) {
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -4,13 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,8 +23,7 @@
 
 const testKey = "operator-test-key"
 
-// fakeControl applies commands in one order, as the replicated log does: compare-and-set on the version, and the first
-// result again for a request that was applied before.
+// fakeControl applies commands to the real state machine in one order, as the replicated log does.
 type fakeControl struct {
 	mu sync.Mutex
 	st *applier.State
@@ -46,17 +42,8 @@
 func (f *fakeControl) Propose(_ context.Context, cmd applier.Command) (applier.Result, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	st := *f.st
-	st.Index++
-	res, ok := st.Answered[cmd.RequestID]
-	if !ok {
-		res = applyCommand(&st, cmd)
-		if cmd.RequestID != "" {
-			st.Answered = maps.Clone(st.Answered)
-			st.Answered[cmd.RequestID] = res
-		}
-	}
-	f.st = &st
+	next, res := f.st.Apply(f.st.Index+1, cmd)
+	f.st = next
 	if f.lose > 0 {
 		f.lose--
 		return applier.Result{}, errLost
@@ -64,43 +51,6 @@
 	return res, nil
 }
 
-func applyCommand(st *applier.State, cmd applier.Command) applier.Result {
-	res := applier.Result{
-		Index: st.Index,
-	}
-	if put := cmd.PutConfig; put != nil {
-		if put.Expect != st.Config.Version {
-			res.Refusal = fmt.Sprintf("version %d was expected", put.Expect)
-			if v, ok := versionOf(st, put.Expect+1); ok {
-				res.Winner = &v
-			}
-			return res
-		}
-		st.Config = applier.StoredConfig{
-			Version: put.Expect + 1, Digest: put.Digest, Operator: put.Operator, At: put.At, Base: put.Base,
-			Overlays: put.Overlays,
-		}
-		st.History = append(slices.Clone(st.History), st.Config)
-		return res
-	}
-	set := cmd.SetService
-	change := applier.ServiceChange{Operator: set.Operator, At: set.At}
-	if set.DataCentre != "" {
-		st.DataCentres = maps.Clone(st.DataCentres)
-		dc := st.DataCentres[set.DataCentre]
-		dc.Out = set.Out
-		dc.Changed = change
-		st.DataCentres[set.DataCentre] = dc
-		return res
-	}
-	st.TargetsOut = maps.Clone(st.TargetsOut)
-	delete(st.TargetsOut, set.Target)
-	if set.Out {
-		st.TargetsOut[set.Target] = change
-	}
-	return res
-}
-
 // example returns the texts of an example deployment.
 func example(c *qt.C) (string, map[string]string) {
 	folder := filepath.Join("..", "examples", "zbiorka")
@@ -141,8 +91,6 @@
 	f.control = &fakeControl{
 		st: &applier.State{
 			Index: 10, Config: stored, History: []applier.StoredConfig{stored},
-			DataCentres: map[string]applier.DataCentre{}, TargetsOut: map[string]applier.ServiceChange{},
-			Answered: map[string]applier.Result{},
 		},
 	}
 	f.facts.Targets = []TargetFacts{
--- a/operator/key.go
+++ b/operator/key.go
@@ -15,7 +15,7 @@
 	name := chi.URLParam(r, "service")
 	key := r.URL.Query().Get("key")
 	st := o.state()
-	cfg := configOf(st)
+	cfg := o.configOf(st)
 	if cfg == nil {
 		writeAnswer(w, http.StatusNotFound, refused("no configuration was accepted yet"))
 		return
@@ -46,11 +46,9 @@
 		Slot:    uint32(slot),
 		Index:   st.Index,
 	}
-	if table != nil {
-		if hot, ok := table.HotKeys[key]; ok {
-			entry = hot
-			answer.HotKey = true
-		}
+	if hot, ok := table.HotKey(key); ok {
+		entry = hot
+		answer.HotKey = true
 	}
 	answer.DataCentre = entry.DataCentre
 	answer.DataCentreOut = st.DataCentres[entry.DataCentre].Out
--- a/operator/losses.go
+++ b/operator/losses.go
@@ -17,7 +17,7 @@
 	names := report.DataCentres()
 	cfg := report.Configs[names[0]]
 	facts := o.facts(ctx)
-	old := configOf(st)
+	old := o.configOf(st)
 	var losses []string
 	if old != nil {
 		for _, s := range old.Services {
@@ -45,7 +45,7 @@
 
 // takeoutLosses says what a takeout leaves without data centres or targets.
 func (o *Operator) takeoutLosses(ctx context.Context, st *applier.State, dataCentre, target string) []string {
-	cfg := configOf(st)
+	cfg := o.configOf(st)
 	if cfg == nil {
 		return nil
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,6 +5,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -51,7 +52,11 @@
 	// Now is the clock of the status; nil means time.Now.
 	Now func() time.Time
 
-	server serverState
+	// Log writes one line for each change that was accepted; nil means none.
+	Log func(message string, pairs ...any)
+
+	server  serverState
+	inForce atomic.Pointer[parsed]
 }
 
 // Handler returns the routes of the operator address.
@@ -75,6 +80,12 @@
 	return r
 }
 
+func (o *Operator) log(message string, pairs ...any) {
+	if o.Log != nil {
+		o.Log(message, pairs...)
+	}
+}
+
 func (o *Operator) now() time.Time {
 	if o.Now == nil {
 		return time.Now()
--- a/operator/service.go
+++ b/operator/service.go
@@ -33,7 +33,7 @@
 	}
 	st := o.state()
 	// A request that was applied before keeps its answer, whatever happened since.
-	if res, ok := st.Answered[req.Request]; ok && res.Refusal == "" {
+	if res, ok := st.Answer(req.Request); ok && res.Refusal == "" {
 		return o.changed(req, res)
 	}
 	before, out, reason := o.find(ctx, st, req)
@@ -59,6 +59,7 @@
 			At:         o.now().UTC(),
 		},
 	})
+	o.catchUp(ctx, res.Index)
 	switch {
 	case err != nil:
 		return unknown(err)
@@ -68,6 +69,7 @@
 	case res.Refusal != "":
 		return refused("%s", res.Refusal)
 	}
+	o.log("service changed", "subject", subject(req), "out", req.Out, "operator", req.Operator)
 	return o.changed(req, res)
 }
 
@@ -84,7 +86,7 @@
 		return change, out, ""
 	}
 	dc, known := st.DataCentres[req.DataCentre]
-	if cfg := configOf(st); cfg != nil {
+	if cfg := o.configOf(st); cfg != nil {
 		known = known || slices.Contains(cfg.DataCentres, req.DataCentre)
 	}
 	if !known {
--- a/operator/status.go
+++ b/operator/status.go
@@ -68,7 +68,7 @@
 func (o *Operator) collect(ctx context.Context) *presenter.Status {
 	st := o.state()
 	facts := o.facts(ctx)
-	cfg := configOf(st)
+	cfg := o.configOf(st)
 	s := presenter.Status{
 		AnsweredBy: o.Host,
 		Config:     *wireVersion(&st.Config, false),
@@ -166,11 +166,8 @@
 func targetRows(st *applier.State, facts *Facts) []presenter.Target {
 	slots := make(map[string]int)
 	for _, table := range st.Slots {
-		if table == nil {
-			continue
-		}
-		for i := range table.Entries {
-			slots[table.Entries[i].Target]++
+		for _, entry := range table.All() {
+			slots[entry.Target]++
 		}
 	}
 	rows := make([]presenter.Target, 0, len(facts.Targets))
@@ -238,14 +235,16 @@
 			row.Unowned = s.Slots
 			row.Delegated = make(map[string]int)
 		}
-		if table := st.Slots[s.Name]; table != nil && s.Keyed {
-			row.HotKeys = len(table.HotKeys)
-			for j := range table.Entries {
-				if table.Entries[j].Target != "" {
+		if table := st.Slots[s.Name]; s.Keyed {
+			for range table.HotKeys() {
+				row.HotKeys++
+			}
+			for _, entry := range table.All() {
+				if entry.Target != "" {
 					row.Unowned--
 				}
-				if dc := table.Entries[j].DataCentre; dc != "" {
-					row.Delegated[dc]++
+				if entry.DataCentre != "" {
+					row.Delegated[entry.DataCentre]++
 				}
 			}
 		}
