Refuse what cannot end in time, and count overtaken requests as slow

Cause: at three times the capacity of a target some requests were sent so late that their deadline passed at the target, which leaves an unknown outcome. A frozen target kept its old latency, because each of its reads was overtaken by a hedged one and not counted. Change: the expected time of a request includes its spread; an overtaken request counts with the time until it was given up.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -203,6 +203,19 @@
 	}
 }
 
+// Overtaken records that a request was given up after elapsed, because a hedged one was answered first. Its latency is
+// at least elapsed.
+func (c *Chooser) Overtaken(t *locator.Table, route *locator.Route, now time.Time, elapsed time.Duration) {
+	s := c.stat(t, route, now)
+	if s == nil {
+		return
+	}
+	s.inFlight.Add(-1)
+	if elapsed > s.latency(now) {
+		s.observe(elapsed, now)
+	}
+}
+
 // Report records the load that a target, or the host that dispatches for it, stated at at.
 func (c *Chooser) Report(t *locator.Table, route *locator.Route, load float64, at time.Time, maxAge time.Duration) {
 	if s := c.stat(t, route, at); s != nil {
--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -55,6 +55,20 @@
 	qt.Assert(t, shares(&c, tab, now.Add(2*forgetTime))["a"] > 100, qt.IsTrue)
 }
 
+// Guards against a frozen target that keeps its old latency because each of its requests is overtaken by a hedged one.
+func TestOvertakenRequestCountsAsSlow(t *testing.T) {
+	c, tab := Chooser{Seed: 1}, table("a", "b", "c", "d")
+	c.Choose(tab, now)
+	for i := range tab.Routes {
+		finish(&c, tab, i, 5*time.Millisecond, true)
+	}
+	for range 10 {
+		c.Begin(tab, &tab.Routes[0], now)
+		c.Overtaken(tab, &tab.Routes[0], now, 40*time.Millisecond)
+	}
+	qt.Assert(t, shares(&c, tab, now)["a"], qt.Equals, 0)
+}
+
 // Guards against steering by a load report that is no longer true.
 func TestOldReportIsIgnored(t *testing.T) {
 	c, tab := Chooser{Seed: 1}, table("a", "b")
--- a/chooser/stat.go
+++ b/chooser/stat.go
@@ -68,6 +68,10 @@
 	}
 	s.failures.Store(0)
 	s.rests.Store(0)
+	s.observe(latency, now)
+}
+
+func (s *stat) observe(latency time.Duration, now time.Time) {
 	old := s.ewma.Load()
 	if old == 0 || now.UnixNano()-s.last.Load() > int64(forgetTime) {
 		old = int64(latency)
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -39,6 +39,7 @@
 	hold      int
 	samples   int
 	recent    time.Duration
+	spread    time.Duration
 	baseline  time.Duration
 }
 
@@ -65,6 +66,7 @@
 	l.hold = 0
 	l.samples = 0
 	l.recent = 0
+	l.spread = 0
 	l.baseline = 0
 }
 
@@ -98,6 +100,7 @@
 		l.recent, l.baseline = latency, latency
 		return
 	}
+	l.spread += time.Duration(fastShare * float64((latency-l.recent).Abs()-l.spread))
 	l.recent += time.Duration(fastShare * float64(latency-l.recent))
 	share := slowShare
 	if latency < l.baseline {
@@ -158,9 +161,11 @@
 	}
 }
 
-// service returns the expected time of one request at the target; zero if nothing is known.
+// service returns the time within which one request at the target is expected to end; zero if nothing is known. The
+// spread is added twice, as in the estimate of TCP's retransmission time: a request that is sent and then reaches its
+// deadline has an unknown outcome, which is worse than a refusal.
 func (l *limit) service() time.Duration {
-	return l.recent
+	return l.recent + 2*l.spread
 }
 
 // wait returns the expected time until a request with ahead others before it has been answered.
--- /dev/null
+++ b/dispatcher/load_test.go
@@ -0,0 +1,167 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/sender"
+)
+
+// worker is a target that sleeps for each request and counts how many it has in progress.
+type worker struct {
+	srv    *httptest.Server
+	busy   atomic.Int64
+	most   atomic.Int64
+	done   atomic.Int64
+	before func(busy, done int64)
+}
+
+func newWorker(tb testing.TB, work time.Duration) *worker {
+	var w worker
+	w.srv = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		busy := w.busy.Add(1)
+		for most := w.most.Load(); busy > most && !w.most.CompareAndSwap(most, busy); most = w.most.Load() {
+		}
+		if w.before != nil {
+			w.before(busy, w.done.Load())
+		}
+		time.Sleep(work)
+		w.done.Add(1)
+		w.busy.Add(-1)
+		rw.Header().Set("Bramleyline-Request", r.Header.Get("Bramleyline-Request"))
+		_, _ = io.WriteString(rw, "ok")
+	}))
+	tb.Cleanup(w.srv.Close)
+	return &w
+}
+
+func (w *worker) addr() netip.AddrPort {
+	return netip.MustParseAddrPort(w.srv.Listener.Addr().String())
+}
+
+// run sends one request and reads its answer.
+func (h *host) run(i int, timeout time.Duration) *sender.Fault {
+	deadline := time.Now().Add(timeout)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	j := Job{
+		Service:  &h.svc,
+		Key:      "picker" + strconv.Itoa(i%16),
+		Method:   http.MethodPost,
+		URI:      "/",
+		Host:     "x",
+		Identity: strconv.Itoa(i),
+		Deadline: deadline,
+	}
+	j.Table, _ = h.current.Load().Table("tally")
+	j.Slot, j.Route = j.Table.OwnerOf(j.Key)
+	resp, f := h.d.Dispatch(ctx, &j)
+	if f != nil {
+		return f
+	}
+	defer resp.Close()
+	if _, err := io.Copy(io.Discard, resp); err != nil {
+		return err.(*sender.Fault)
+	}
+	return nil
+}
+
+// Guards against more work at a cold target than its successes allow, at first and again after it restarted.
+func TestColdTargetUnderFullLoad(t *testing.T) {
+	c := qt.New(t)
+	w := newWorker(t, time.Millisecond)
+	h := newHost(w.addr())
+	h.svc.Limits.WarmStep = 10
+	h.svc.Limits.QueueLimit = 1000
+	var base, over atomic.Int64
+	w.before = func(busy, done int64) {
+		if busy > 1+(done+1-base.Load())/10 || busy > 4 {
+			over.Add(1)
+		}
+	}
+	for incarnation := range uint64(2) {
+		h.publish(incarnation+1, w.addr())
+		base.Store(w.done.Load())
+		var wg sync.WaitGroup
+		for i := range 150 {
+			wg.Go(func() { h.run(i, 10*time.Second) })
+		}
+		wg.Wait()
+	}
+	c.Assert(over.Load(), qt.Equals, int64(0))
+	c.Assert(w.done.Load(), qt.Equals, int64(300))
+	c.Assert(w.most.Load(), qt.Equals, int64(4))
+	loads := h.d.Loads()
+	sum := uint32(0)
+	for _, l := range loads {
+		for _, n := range l.Requests {
+			sum += n
+		}
+	}
+	c.Assert(sum, qt.Equals, uint32(300))
+}
+
+// BenchmarkOverload offers a target with 4 slots and 10 ms for a request one and three times its capacity of 400
+// requests a second, with a deadline of 200 ms. Goodput is the answers in time; -benchtime sets the duration.
+func BenchmarkOverload(b *testing.B) {
+	for _, times := range []int{1, 3} {
+		b.Run(strconv.Itoa(times)+"x", func(b *testing.B) {
+			w := newWorker(b, 10*time.Millisecond)
+			h := newHost(w.addr())
+			h.svc.Limits.ColdAllowance = 4
+			var mu sync.Mutex
+			var latencies, refusals []time.Duration
+			var unknown int
+			var wg sync.WaitGroup
+			const length = 3 * time.Second
+			interval := time.Second / time.Duration(400*times)
+			start := time.Now()
+			for i := 0; time.Since(start) < length; i++ {
+				if d := time.Until(start.Add(time.Duration(i) * interval)); d > 0 {
+					time.Sleep(d)
+				}
+				wg.Go(func() {
+					sent := time.Now()
+					f := h.run(i, 200*time.Millisecond)
+					took := time.Since(sent)
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case f == nil:
+						latencies = append(latencies, took)
+					case f.MayHaveRun:
+						unknown++
+					default:
+						refusals = append(refusals, took)
+					}
+				})
+			}
+			wg.Wait()
+			quantile := func(d []time.Duration, percent int) float64 {
+				if len(d) == 0 {
+					return 0
+				}
+				slices.Sort(d)
+				return float64(d[len(d)*percent/100].Microseconds()) / 1000
+			}
+			b.ReportMetric(float64(len(latencies))/length.Seconds(), "goodput/s")
+			b.ReportMetric(float64(len(refusals))/length.Seconds(), "notRun/s")
+			b.ReportMetric(float64(unknown)/length.Seconds(), "unknown/s")
+			b.ReportMetric(quantile(latencies, 99), "ok-p99-ms")
+			b.ReportMetric(quantile(refusals, 50), "refused-p50-ms")
+			b.ReportMetric(quantile(refusals, 99), "refused-p99-ms")
+			b.ReportMetric(float64(w.most.Load()), "most-in-progress")
+		})
+	}
+}
--- a/router/hedge.go
+++ b/router/hedge.go
@@ -102,7 +102,9 @@
 	if f != nil {
 		now := time.Now()
 		switch f.Reason {
-		case sender.ReasonCancelled, "suspect":
+		case sender.ReasonCancelled:
+			c.Overtaken(t, route, now, now.Sub(start))
+		case "suspect":
 			c.End(t, route, now, 0, false, false)
 		case sender.ReasonOverloaded, "cold", "draining", sender.ReasonStaleRoute:
 			// A target that refuses is not faulty, but its short answers must not draw more requests to it.
