--- a/sender/pool.go
+++ b/sender/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -76,7 +75,7 @@
 }
 
 // dial opens a connection; the caller has acquired its place before.
-func (p *pool) dial(ctx context.Context, d *net.Dialer, config *tls.Config) (*conn, error) {
+func (p *pool) dial(ctx context.Context, dial DialFunc, config *tls.Config) (*conn, error) {
 	// An idle connection and the one to be opened together must not exceed the bound.
 	p.mu.Lock()
 	var spare *conn
@@ -88,7 +87,7 @@
 	if spare != nil {
 		_ = spare.Close()
 	}
-	c, err := d.DialContext(ctx, "tcp", p.addr.String())
+	c, err := dial(ctx, "tcp", p.addr.String())
 	if err != nil {
 		return nil, err
 	}
