Keep the place of a request that was given up, and add Leave

Cause: a request that is given up at its deadline, or because a hedged one was answered, may still run at the target; a cold target then got one more than it bears. The sketch of hot keys was used by several goroutines at once. A request that arrives on an idle connection while a stopping host closes it is cut.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,9 +26,10 @@
 	errLost      = errors.New("target was lost while the request was waiting")
 )
 
-// Sketch finds hot keys. Package sketcher implements it.
+// Sketch finds hot keys. It is called under the lock of a lane, so it need not be safe for concurrent use.
 type Sketch interface {
 	Add(key string)
+	// Top returns the hot keys with their counts.
 	Top() map[string]uint32
 }
 
@@ -176,9 +177,6 @@
 		target:      j.Route.Target,
 		incarnation: j.Route.Incarnation,
 	})
-	if l.sketch != nil && j.Key != "" {
-		l.sketch.Add(j.Key)
-	}
 	start := time.Now()
 	if f := l.enter(ctx, &j.Service.Limits, j.Key, j.Slot, start, j.Deadline); f != nil {
 		return nil, f
@@ -233,11 +231,11 @@
 		resp, fault = statement(resp)
 	}
 	if fault != nil {
-		l.finish(n, req, 0, false, fault)
+		l.finish(n, req, start, false, fault)
 		return nil, fault
 	}
 	resp.OnEnd = func(whole bool, f *sender.Fault) {
-		l.finish(n, req, time.Since(start), whole, f)
+		l.finish(n, req, start, whole, f)
 	}
 	return resp, nil
 }
--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -112,6 +112,43 @@
 	c.Assert(sum, qt.Equals, uint32(300))
 }
 
+// Guards against a request for a cold target in place of one that was given up: the target may still run the first.
+func TestAbandonedRequestKeepsItsPlace(t *testing.T) {
+	c := qt.New(t)
+	w := newWorker(t, 60*time.Millisecond)
+	h := newHost(w.addr())
+	h.svc.Limits.WarmStep = 1000
+	for i := range 6 {
+		timeout := time.Second
+		if i%2 == 0 {
+			timeout = 10 * time.Millisecond
+		}
+		h.run(i, timeout)
+	}
+	c.Assert(w.most.Load(), qt.Equals, int64(1))
+	c.Assert(w.done.Load() >= 3, qt.IsTrue)
+}
+
+// plainSketch counts all keys. It is not safe for concurrent use, like a sketch in use.
+type plainSketch map[string]uint32
+
+func (s plainSketch) Add(key string) { s[key]++ }
+
+func (s plainSketch) Top() map[string]uint32 { return s }
+
+// Guards against hot keys that never reach the authority, and against concurrent use of a sketch.
+func TestLoadsNameHotKeys(t *testing.T) {
+	w := newWorker(t, 0)
+	h := newHost(w.addr())
+	h.d.opts.Sketch = func() Sketch { return plainSketch{} }
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { h.run(3, time.Second) })
+	}
+	wg.Wait()
+	qt.Assert(t, h.d.Loads()[0].HotKeys, qt.DeepEquals, map[string]uint32{"picker3": 10})
+}
+
 // BenchmarkOverload offers a target with 4 slots and 10 ms for a request one and three times its capacity of 400
 // requests a second, with a deadline of 200 ms. Goodput is the answers in time; -benchtime sets the duration.
 func BenchmarkOverload(b *testing.B) {
--- a/dispatcher/traffic.go
+++ b/dispatcher/traffic.go
@@ -25,9 +25,7 @@
 		idle := l.inFlight == 0 && l.queue.len() == 0 && len(l.requests) == 0
 		l.requests = nil
 		l.mu.Unlock()
-		if l.sketch != nil {
-			m.HotKeys = l.sketch.Top()
-		}
+		m.HotKeys = l.hot()
 		if idle && !d.listed(id) {
 			gone = append(gone, id)
 		}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -60,6 +60,9 @@
 	x.router.active.Add(1)
 	x.outcome = "aborted"
 	defer x.end()
+	if x.router.leaving.Load() {
+		x.w.Header()["Connection"] = []string{"close"}
+	}
 	x.method = req.Method
 	if f := accept(req); f != nil {
 		x.refuse(f)
--- a/router/router.go
+++ b/router/router.go
@@ -52,6 +52,7 @@
 	room       room
 	recorder   recorder.Recorder
 	active     atomic.Int64
+	leaving    atomic.Bool
 	done       chan struct{}
 	closed     atomic.Bool
 }
@@ -117,6 +118,13 @@
 	return r.done
 }
 
+// Leave announces that the host is about to close its listeners. From then on each answer asks its caller, or the host
+// that forwarded the request, to close the connection: a request that arrives on an idle connection while it is being
+// closed would be cut. The host calls it when its readiness goes off.
+func (r *Router) Leave() {
+	r.leaving.Store(true)
+}
+
 // drainInterval is the interval at which Drain looks for requests in progress.
 const drainInterval = 5 * time.Millisecond
 
