Check single ownership by property tests on virtual time, and mend what they found

Cause: the test drives tracker, granter and delegator of six hosts with lost, late and repeated messages, pauses, partitions, restarts, drift and leader changes. It found (a) two owners: a target whose lease had lapsed came back and took a slot in the list of releases for one that it still held, (b) slots that moved because their target's dispatching host changed, (c) slots that waited for ever when two processes ran under one target name, (d) a panic when a release was on its way to the log at the loss of the leader. Change: given-up slots are not listed, targets keep slots while their host changes, the older of two processes gives way; calls go through a transport interface so that the test runs the real update code.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -77,7 +77,10 @@
 	lost         bool
 	gone         bool
 	version      uint64
-	successor    *target
+	// successor is a newer process with the same name, first heard at succeededAt. It takes the place of this one when
+	// this one holds nothing any more.
+	successor   *target
+	succeededAt time.Time
 }
 
 // Update takes one message and returns its effects: reporter.GrantMsg as the answer to a reporter.ReportMsg,
@@ -319,7 +322,10 @@
 		}
 		g.targets[key] = t
 	}
-	if msg.Incarnation > t.incarnation {
+	if msg.Incarnation > t.incarnation && (t.successor == nil || msg.Incarnation >= t.successor.incarnation) {
+		if t.successor == nil {
+			t.succeededAt = g.now
+		}
 		t.successor = &target{
 			targetKey:   key,
 			incarnation: msg.Incarnation,
@@ -382,8 +388,18 @@
 	}
 }
 
-// inService reports whether t may be given slots: it is heard from, and neither drained nor taken out.
+// keeps reports whether t may keep its slots: it is neither lost nor drained nor taken out.
+func (g *Granter) keeps(t *target) bool {
+	return !t.gone && !t.lost && !t.msg.Draining && !t.outOfService && !g.superseded(t)
+}
+
+// superseded reports whether a newer process with the same name is there although the lease of t did not lapse. Two
+// processes run under one name then, and the older one gives way.
+func (g *Granter) superseded(t *target) bool {
+	return t.successor != nil && g.now.Sub(t.succeededAt) > 2*g.config.Timing.DispatchLease
+}
+
+// inService reports whether t may be given slots: it keeps its own, has a dispatching host and is heard from.
 func (g *Granter) inService(t *target) bool {
-	return !t.gone && !t.lost && t.host != "" && !t.msg.Draining && !t.outOfService && t.successor == nil &&
-		g.now.Sub(t.heardAt) < g.config.Timing.DispatchLease
+	return g.keeps(t) && t.host != "" && t.successor == nil && g.now.Sub(t.heardAt) < g.config.Timing.DispatchLease
 }
--- a/granter/membership.go
+++ b/granter/membership.go
@@ -61,7 +61,7 @@
 			t.outOfService = out
 			t.version = g.next()
 		}
-		if t.lost && !t.gone && held[t] == 0 {
+		if (t.lost || g.superseded(t)) && !t.gone && held[t] == 0 {
 			t.gone = true
 			t.version = g.next()
 			if t.host != "" {
--- a/granter/move.go
+++ b/granter/move.go
@@ -27,13 +27,16 @@
 	}
 	for i, t := range targets {
 		number[t] = int32(i)
-		if g.inService(t) && !out {
+		// A target whose dispatching host changes, or whose lease may lapse, keeps its slots until that is known.
+		if g.keeps(t) && !out {
 			p.Weights[i] = 1
 		}
 	}
 	owners, slots := g.owners(tab, number, out)
 	for _, m := range p.Place(owners) {
-		g.plan(tab, slots[m.Slot], targets[m.To])
+		if g.inService(targets[m.To]) {
+			g.plan(tab, slots[m.Slot], targets[m.To])
+		}
 	}
 	g.drain(tab)
 	if tab.settled() {
@@ -82,6 +85,9 @@
 				service: tab.service.Name,
 				name:    s.name,
 			}]
+			if owner != nil && owner.successor != nil {
+				owner = nil
+			}
 		}
 		n, ok := number[owner]
 		if !ok {
@@ -113,7 +119,7 @@
 	for i := range tab.slots {
 		s := &tab.slots[i]
 		_, yields := tab.yield[keyer.Slot(i)]
-		if s.phase == serving && (yields || out || s.owner.outOfService || s.owner.msg.Draining) {
+		if s.phase == serving && (yields || out || !g.keeps(s.owner)) {
 			g.release(s, nil)
 		}
 	}
@@ -148,6 +154,9 @@
 	moves := p.Rebalance(owners, loads, r, budget, tab.rebalancing)
 	tab.rebalancing = len(moves) > 0
 	for _, m := range moves {
+		if !g.inService(targets[m.To]) {
+			return
+		}
 		g.release(slots[m.Slot], targets[m.To])
 		tab.moved = append(tab.moved, g.now)
 	}
--- a/granter/propose.go
+++ b/granter/propose.go
@@ -38,7 +38,7 @@
 	isolated := !g.lease.Valid(g.now)
 	for i := range tab.slots {
 		s := &tab.slots[i]
-		if isolated && s.phase == proposing {
+		if isolated && s.phase == proposing && s.to != nil {
 			// The log does not answer; the same assignment is made known to the in-sync set instead.
 			s.phase = prepared
 			s.version = g.next()
@@ -138,6 +138,10 @@
 	tab := g.tables[m.Service]
 	for _, c := range m.Owners {
 		s := &tab.slots[c.Slot]
+		if !ok && s.epoch == c.Epoch && s.phase != proposing && s.owner != nil {
+			// The assignment of isolated mode is in force but not recorded yet.
+			s.unlogged = true
+		}
 		if s.phase != proposing || s.epoch != c.Epoch {
 			continue
 		}
--- a/participant/calls.go
+++ b/participant/calls.go
@@ -1,8 +1,9 @@
 package participant
 
 import (
-	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bramleyline.example/bramleyline/applier"
@@ -22,7 +23,7 @@
 	if !p.leadingSince.IsZero() {
 		p.beatAt = now
 		p.leader = p.options.Host.Name
-		p.beaten(now, now, p.leader, p.delegator.Heartbeat(now, m))
+		p.beaten(now, now, p.delegator.Heartbeat(now, m))
 		return
 	}
 	addresses := p.controlHosts(st)
@@ -35,22 +36,19 @@
 	p.beating = true
 	p.beatAt = now
 	left := len(addresses)
-	for name, addr := range addresses {
-		p.call(timing.AuthorityLease/3, func(ctx context.Context) {
-			var reply delegator.HeartbeatReply
-			asked := time.Now()
-			err := p.options.Messenger.Call(ctx, addr, "Control.Heartbeat", &m, &reply)
-			p.post(func(now time.Time) {
-				left--
-				p.beating = left > 0
-				if err == nil && reply.Leading {
-					p.leader = name
-					p.beaten(now, asked, name, reply)
-				} else if p.leader == name {
-					p.leader = ""
-					p.beatAt = time.Time{}
-				}
-			})
+	for _, name := range slices.Sorted(maps.Keys(addresses)) {
+		addr := addresses[name]
+		var reply delegator.HeartbeatReply
+		p.transport.call(timing.AuthorityLease/3, addr, "Control.Heartbeat", &m, &reply, func(now, asked time.Time, err error) {
+			left--
+			p.beating = left > 0
+			if err == nil && reply.Leading {
+				p.leader = name
+				p.beaten(now, asked, reply)
+			} else if p.leader == name {
+				p.leader = ""
+				p.beatAt = time.Time{}
+			}
 		})
 	}
 }
@@ -95,7 +93,7 @@
 }
 
 // beaten takes the leader's answer to a heartbeat that was sent at asked.
-func (p *Participant) beaten(now, asked time.Time, _ string, r delegator.HeartbeatReply) {
+func (p *Participant) beaten(now, asked time.Time, r delegator.HeartbeatReply) {
 	if !r.Leading {
 		return
 	}
@@ -135,24 +133,16 @@
 	p.reportAt = now
 	m := p.tracker.Report(now)
 	if authority.Name == p.options.Host.Name {
-		for _, e := range p.grant(now, m) {
-			if g, ok := e.(reporter.GrantMsg); ok {
-				p.granted(now, now, g)
-			}
-		}
+		p.granted(now, now, p.answerReport(now, m))
 		return
 	}
 	p.reporting = true
-	p.call(timing.DispatchLease/2, func(ctx context.Context) {
-		var g reporter.GrantMsg
-		asked := time.Now()
-		err := p.options.Messenger.Call(ctx, authority.RPC, "Authority.Report", &m, &g)
-		p.post(func(now time.Time) {
-			p.reporting = false
-			if err == nil {
-				p.granted(now, asked, g)
-			}
-		})
+	var g reporter.GrantMsg
+	p.transport.call(timing.DispatchLease/2, authority.RPC, "Authority.Report", &m, &g, func(now, asked time.Time, err error) {
+		p.reporting = false
+		if err == nil {
+			p.granted(now, asked, g)
+		}
 	})
 }
 
@@ -182,14 +172,11 @@
 }
 
 func (p *Participant) propose(m granter.ProposeMsg) {
-	p.call(proposeLimit, func(ctx context.Context) {
-		r, err := p.options.Proposer.Propose(ctx, m.Command)
-		p.post(func(now time.Time) {
-			p.grant(now, granter.ProposedMsg{
-				RequestID: m.Command.RequestID,
-				Result:    r,
-				Err:       err,
-			})
+	p.transport.propose(proposeLimit, []applier.Command{m.Command}, func(now time.Time, r applier.Result, err error) {
+		p.grant(now, granter.ProposedMsg{
+			RequestID: m.Command.RequestID,
+			Result:    r,
+			Err:       err,
 		})
 	})
 }
@@ -199,16 +186,13 @@
 	if st == nil {
 		return
 	}
-	addr := st.Hosts[m.Host].RPC
-	p.call(p.config.Timing.DispatchLease, func(ctx context.Context) {
-		var answer granter.PromiseMsg
-		if err := p.options.Messenger.Call(ctx, addr, "Authority.Promise", &m, &answer); err != nil || m.Hold == 0 {
-			return
-		}
-		// The time does not survive the wire as a monotonic one.
-		answer.Asked = m.Asked
-		p.post(func(now time.Time) {
+	var answer granter.PromiseMsg
+	limit := p.config.Timing.DispatchLease
+	p.transport.call(limit, st.Hosts[m.Host].RPC, "Authority.Promise", &m, &answer, func(now, _ time.Time, err error) {
+		if err == nil && m.Hold > 0 {
+			// The time does not survive the wire as a monotonic one.
+			answer.Asked = m.Asked
 			p.grant(now, answer)
-		})
+		}
 	})
 }
--- a/participant/fake_test.go
+++ b/participant/fake_test.go
@@ -102,7 +102,7 @@
 			return applier.Result{Refusal: "old authority"}
 		}
 		for _, o := range m.Owners {
-			if e := st.Slots[m.Service].Entries[o.Slot]; e.DataCentre != m.DataCentre || o.Epoch <= e.Epoch {
+			if e := st.Slots[m.Service].Entries[o.Slot]; e.DataCentre != m.DataCentre || o.Epoch < e.Epoch || o.Epoch == e.Epoch && o.Target != e.Target {
 				return applier.Result{Refusal: "not delegated, or old epoch"}
 			}
 		}
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -28,6 +28,8 @@
 	granter   *granter.Granter
 	delegator *delegator.Delegator
 
+	transport transport
+
 	inbox  chan func(now time.Time)
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -80,6 +82,7 @@
 	p.delegator = &delegator.Delegator{
 		Config: func() *configurer.Config { return p.config },
 	}
+	p.transport = remote{p: p}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p, nil
 }
@@ -169,29 +172,23 @@
 	}
 }
 
-// call runs f in a goroutine of its own, with a limit on its time.
-func (p *Participant) call(limit time.Duration, f func(ctx context.Context)) {
-	p.calls.Add(1)
-	go func() {
-		defer p.calls.Done()
-		ctx, cancel := context.WithTimeout(p.ctx, limit)
-		defer cancel()
-		f(ctx)
-	}()
-}
-
 func (p *Participant) heartbeat(ctx context.Context, m tracker.HeartbeatMsg) (tracker.HeartbeatReply, error) {
 	var reply tracker.HeartbeatReply
 	err := p.ask(ctx, func(now time.Time) {
-		for _, e := range p.tracker.Update(now, m) {
-			if r, ok := e.(tracker.HeartbeatReply); ok {
-				reply = r
-			}
-		}
+		reply = p.beatOfTarget(now, m)
 	})
 	return reply, err
 }
 
+func (p *Participant) beatOfTarget(now time.Time, m tracker.HeartbeatMsg) (reply tracker.HeartbeatReply) {
+	for _, e := range p.tracker.Update(now, m) {
+		if r, ok := e.(tracker.HeartbeatReply); ok {
+			reply = r
+		}
+	}
+	return reply
+}
+
 // tick runs the parts of this host over the newest state.
 func (p *Participant) tick(now time.Time) {
 	cfg, st := p.options.Config(), p.options.Source.State()
@@ -241,19 +238,9 @@
 		return
 	}
 	p.proposing = true
-	p.call(proposeLimit, func(ctx context.Context) {
-		var index uint64
-		for _, cmd := range commands {
-			r, err := p.options.Proposer.Propose(ctx, cmd)
-			if err != nil {
-				break
-			}
-			index = max(index, r.Index)
-		}
-		p.post(func(time.Time) {
-			p.proposing = false
-			p.proposedIndex = index
-		})
+	p.transport.propose(proposeLimit, commands, func(_ time.Time, last applier.Result, _ error) {
+		p.proposing = false
+		p.proposedIndex = max(p.proposedIndex, last.Index)
 	})
 }
 
--- a/participant/services.go
+++ b/participant/services.go
@@ -22,14 +22,7 @@
 	ctx, cancel := context.WithTimeout(a.p.ctx, serviceLimit)
 	defer cancel()
 	return a.p.ask(ctx, func(now time.Time) {
-		if a.p.pledge.active(now) {
-			return
-		}
-		for _, e := range a.p.grant(now, *args) {
-			if g, ok := e.(reporter.GrantMsg); ok {
-				*reply = g
-			}
-		}
+		*reply = a.p.answerReport(now, *args)
 	})
 }
 
@@ -52,8 +45,26 @@
 	ctx, cancel := context.WithTimeout(c.p.ctx, serviceLimit)
 	defer cancel()
 	return c.p.ask(ctx, func(now time.Time) {
-		if _, ok := c.p.options.Leading(now); ok && !c.p.leadingSince.IsZero() {
-			*reply = c.p.delegator.Heartbeat(now, *args)
-		}
+		*reply = c.p.answerHeartbeat(now, *args)
 	})
 }
+
+// answerReport grants nothing while this host has promised not to take part in another authority.
+func (p *Participant) answerReport(now time.Time, m reporter.ReportMsg) (g reporter.GrantMsg) {
+	if p.pledge.active(now) {
+		return g
+	}
+	for _, e := range p.grant(now, m) {
+		if answer, ok := e.(reporter.GrantMsg); ok {
+			g = answer
+		}
+	}
+	return g
+}
+
+func (p *Participant) answerHeartbeat(now time.Time, m delegator.HeartbeatMsg) delegator.HeartbeatReply {
+	if _, ok := p.options.Leading(now); !ok || p.leadingSince.IsZero() {
+		return delegator.HeartbeatReply{}
+	}
+	return p.delegator.Heartbeat(now, m)
+}
--- a/tracker/heartbeat.go
+++ b/tracker/heartbeat.go
@@ -74,9 +74,11 @@
 			continue
 		}
 		switch n := keyer.Slot(i); {
+		case e.givenUp:
+			// The slot may have another owner by now. To list it as releasing would let a target that returns after its
+			// lease lapsed take it for one that it still holds.
 		case e.releasing:
 			reply.Releasing = append(reply.Releasing, n)
-		case e.givenUp:
 		default:
 			asserter.Check(e.epoch != 0, asserter.SingleOwner, "slot %d of %s granted to %s without an epoch", n, key.service, key.name)
 			if last := len(reply.Owned) - 1; last >= 0 && reply.Owned[last].To+1 == n && reply.Owned[last].Epoch == e.epoch {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -3,6 +3,8 @@
 package tracker
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bramleyline.example/bramleyline/fencer"
@@ -158,6 +160,9 @@
 			m.Targets = append(m.Targets, t.reportHeard(k, nil))
 		}
 	}
+	slices.SortFunc(m.Targets, func(a, b reporter.TargetMsg) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 	if t.Traffic != nil {
 		m.Loads = t.Traffic.Loads()
 		m.Suspects = t.Traffic.Suspects()
