Test the state machine and measure it

Cause: the state machine and its codec had no tests, and the claim that a change of one slot does not copy the table had no figure.

--- /dev/null
+++ b/applier/bench_test.go
@@ -0,0 +1,87 @@
+package applier_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/fencer"
+	"bramleyline.example/bramleyline/keyer"
+)
+
+var sizes = []int{1024, 131072}
+
+// filledState has n slots that 20 targets own, and the index of the authority.
+func filledState(n int) (*applier.State, uint64) {
+	var s *applier.State
+	s, _ = s.Apply(1, delegate("dc1", slots(0, n)...))
+	s, _ = s.Apply(2, authority("dc1", "h1"))
+	owners := make([]applier.OwnerChange, n)
+	for i := range owners {
+		owners[i] = owner(keyer.Slot(i), fmt.Sprint("target", i%20), 2, 1)
+	}
+	s, _ = s.Apply(3, assign("dc1", 2, nil, owners...))
+	return s, 2
+}
+
+func BenchmarkApplyOneSlot(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, authority := filledState(n)
+			b.ReportAllocs()
+			change := uint32(2)
+			for i := 0; b.Loop(); i++ {
+				cmd := assign("dc1", authority, nil, applier.OwnerChange{
+					Slot:   keyer.Slot(i % n),
+					Target: fmt.Sprint("target", i%19),
+					Epoch:  fencer.NewEpoch(uint32(authority), change),
+				})
+				change++
+				var r applier.Result
+				if s, r = s.Apply(s.Index+1, cmd); r.Refusal != "" {
+					b.Fatal(r.Refusal)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkStateBytes(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var s *applier.State
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s, _ = filledState(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			runtime.KeepAlive(s)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/slot")
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range sizes {
+		s, _ := filledState(n)
+		data, err := applier.EncodeSnapshot(s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint("encode/", n), func(b *testing.B) {
+			for b.Loop() {
+				_, _ = applier.EncodeSnapshot(s)
+			}
+			b.ReportMetric(float64(len(data)), "B")
+		})
+		b.Run(fmt.Sprint("decode/", n), func(b *testing.B) {
+			for b.Loop() {
+				_, _ = applier.DecodeSnapshot(data)
+			}
+		})
+	}
+}
