--- a/applier/assign.go
+++ b/applier/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/keyer"
@@ -114,7 +115,9 @@
 	if next == nil {
 		next = make(map[string]SlotEntry, len(keys))
 	}
-	for key, c := range keys {
+	// The order decides which refusal is given, and all hosts have to remember the same one.
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		c := keys[key]
 		entry, known := e.table.Entry(c.Slot)
 		if previous, ok := old[key]; ok && previous.Slot == c.Slot {
 			previous.DataCentre, previous.DelegatedAt = entry.DataCentre, entry.DelegatedAt
