--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -31,6 +31,8 @@
 	index       uint64
 	chain       uint64
 	lastTaken   uint64
+	// wiped says that the member lost its disk and has not caught up since.
+	wiped bool
 }
 
 type flight struct {
@@ -147,6 +149,23 @@
 	m.lastTaken = s.Index
 }
 
+// wipe replaces a member's disk by an empty one. Only one member at a time is without its data, as it counts as lost.
+func (c *cluster) wipe(m *member) {
+	if len(c.first) < 3 {
+		return
+	}
+	for _, other := range c.members {
+		if other.wiped = other.wiped && (other.core == nil || other.core.Recovering()); other.wiped {
+			return
+		}
+	}
+	c.stop(m)
+	m.fs = faulter.New()
+	m.wiped = true
+	c.start(m.name)
+	c.sent["wipe"]++
+}
+
 func (c *cluster) stop(m *member) {
 	m.core, m.journal = nil, nil
 }
