--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,6 +62,9 @@
 	Caller      string
 	Fingerprint uint64
 	Deadline    time.Time
+	// Again is asked whether the request may be sent once more after the target itself refused it as overloaded or cold.
+	// It is nil for a request that another target can run.
+	Again func() bool
 	// Queued is set to the time for which the request waited.
 	Queued time.Duration
 }
@@ -177,14 +180,32 @@
 		target:      j.Route.Target,
 		incarnation: j.Route.Incarnation,
 	})
-	start := time.Now()
-	if f := l.enter(ctx, &j.Service.Limits, j.Key, j.Slot, start, j.Deadline); f != nil {
-		return nil, f
+	for tries := 0; ; tries++ {
+		start := time.Now()
+		if f := l.enter(ctx, &j.Service.Limits, j.Key, j.Slot, start, j.Deadline); f != nil {
+			return nil, f
+		}
+		j.Queued += time.Since(start)
+		resp, f := d.send(ctx, l, j)
+		if f == nil || !f.Said || tries >= refusedTries || (f.Reason != "overloaded" && f.Reason != "cold") ||
+			j.Again == nil || !j.Again() {
+			return resp, f
+		}
+		select {
+		case <-time.After(refusedWait << tries):
+		case <-ctx.Done():
+			return nil, f
+		}
 	}
-	j.Queued = time.Since(start)
-	return d.send(ctx, l, j)
 }
 
+// A target that refuses, although it had a free place by this host's count, is still busy with a request that was given
+// up, or became cold. refusedWait is the wait before it is asked again, which doubles; refusedTries bounds the attempts.
+const (
+	refusedWait  = 5 * time.Millisecond
+	refusedTries = 2
+)
+
 func (d *Dispatcher) send(ctx context.Context, l *lane, j *Job) (*sender.Response, *sender.Fault) {
 	start := time.Now()
 	fields := make([]sender.Field, 0, 6)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -189,8 +189,8 @@
 	switch f.Reason {
 	case "suspect", sender.ReasonCancelled, sender.ReasonDeadline:
 		return false
-	case sender.ReasonOverloaded:
-		// The owner of a key is the only target that may run the request.
+	case sender.ReasonOverloaded, "cold":
+		// The owner of a key is the only target that may run the request, and its dispatcher has asked it again.
 		if x.service.Keyed {
 			return false
 		}
@@ -290,6 +290,11 @@
 		Fingerprint: x.fingerprint,
 		Deadline:    x.deadline,
 	}
+	if x.service.Keyed {
+		j.Again = func() bool {
+			return x.state.retries.Take(x.service.Retry.RetryBudget)
+		}
+	}
 	resp, f := x.router.dispatcher.Dispatch(ctx, &j)
 	x.queued.Store(int64(j.Queued))
 	return resp, nil, f
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -227,6 +227,33 @@
 	}
 }
 
+// Guards against an error for the caller when the owner of a key refuses for a moment, and against tries without end.
+func TestOwnerThatRefusesIsAskedAgain(t *testing.T) {
+	for host := range 2 {
+		for _, reason := range []string{"overloaded", "cold"} {
+			c := qt.New(t)
+			refusals := 1
+			target := newRawTarget(t, func(c net.Conn, _ int, r *http.Request, body string) bool {
+				if refusals > 0 {
+					refusals--
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 429 Too Many Requests\r\nBramleyline-Request: %s\r\nBramleyline-Outcome: notRun\r\n"+
+						"Bramleyline-Reason: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Bramleyline-Request"), reason)
+					return true
+				}
+				return whole(c, r.Header.Get("Bramleyline-Request"), body)
+			})
+			s := siteWith(t, target.addr, time.Second)
+			c.Assert(s.call(host, "POST", "/tally", "5 kg").status, qt.Equals, 200)
+			c.Assert(target.count("POST 5 kg"), qt.Equals, 2)
+			refusals = 1000
+			a := s.call(host, "POST", "/tally", "6 kg")
+			c.Assert(a.outcome, qt.Equals, "notRun")
+			c.Assert(a.status, qt.Equals, 503)
+			c.Assert(target.count("POST 6 kg"), qt.Equals, 3)
+		}
+	}
+}
+
 // Guards against a refused connection that is answered as unknown, or a wait for it beyond HandoverWait.
 func TestUnreachableTargetIsNotRun(t *testing.T) {
 	c := qt.New(t)
--- a/router/forward.go
+++ b/router/forward.go
@@ -36,7 +36,8 @@
 	epoch := strconv.FormatUint(uint64(route.Epoch), 10)
 	deadline := strconv.FormatInt(max(1, (time.Until(x.deadline)-peerMargin).Milliseconds()), 10)
 	hops := strconv.Itoa(x.hops + 1)
-	sum := x.router.signer.sign(x.body, x.service.Name, route.Target, epoch, x.identity, deadline, hops, x.caller, x.method, x.uri)
+	sum := x.router.signer.sign(x.body, x.service.Name, x.key, route.Target, epoch, x.identity, deadline, hops, x.caller,
+		x.method, x.uri)
 	fields := []sender.Field{
 		{Name: "Bramleyline-Service", Value: x.service.Name},
 		{Name: "Bramleyline-Target", Value: route.Target},
@@ -132,7 +133,8 @@
 	if f := x.readBody(req); f != nil {
 		return f
 	}
-	if !x.router.signer.verify(sum, x.body, x.service.Name, x.target, epoch, x.identity, deadline, hops, x.caller, x.method, x.uri) {
+	if !x.router.signer.verify(sum, x.body, x.service.Name, x.key, x.target, epoch, x.identity, deadline, hops, x.caller, x.method,
+		x.uri) {
 		return refusal(http.StatusUnauthorized, "unauthorized", errors.New("forwarded request has no valid signature"))
 	}
 	e, _ := strconv.ParseUint(epoch, 10, 64)
@@ -142,6 +144,7 @@
 
 // servePeer makes one attempt for a forwarded request; the first host decides on retries.
 func (x *exchange) servePeer(ctx context.Context) {
+	x.state.retries.First(x.service.Retry.RetryBudget)
 	w, f := x.route(x.router.opts.Locator.Load())
 	if f == nil && w.route.Epoch < x.epoch {
 		f = sender.Refused(sender.ReasonStaleRoute, "the table of this host is older than the request")
