Let a voter that lost its disk catch up before it counts

Cause: a voter that started again with an empty folder under its name voted and counted at once, although entries may rest on what it had acknowledged.

Change: a member with an empty disk gives no vote and does not count until it has everything that the leader, with a majority of the others, has committed; it ignores all messages for three election timeouts first. A first voter takes part at once only if every other first voter answers that its log is empty, so all first voters have to be up once for the first start. The durable hard state remembers an unfinished recovery.

Also new: tests of a replaced disk and of a replaced voter with real hosts.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -47,6 +47,8 @@
 	lead    atomic.Pointer[replicator.Lead]
 	contact atomic.Pointer[leaderContact]
 	members atomic.Pointer[[]journaler.Member]
+	// recovering is shown while the host does not vote because its disk was empty.
+	recovering atomic.Bool
 
 	inbox     chan replicator.Message
 	requests  chan request
@@ -160,6 +162,11 @@
 	return *c.members.Load()
 }
 
+// Recovering reports whether this host started with an empty disk and does not count as a voter yet.
+func (c *Controller) Recovering() bool {
+	return c.recovering.Load()
+}
+
 // Done is closed when the controller has stopped; Err then says why.
 func (c *Controller) Done() <-chan struct{} {
 	return c.done
--- a/controller/group_test.go
+++ b/controller/group_test.go
@@ -260,3 +260,57 @@
 		c.Assert(h.State().DataCentres, qt.HasLen, 3)
 	}
 }
+
+// A voter whose disk was replaced must get everything again before it counts, and must not take the group for a new one.
+func TestVoterWithEmptyDiskCatchesUp(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, 3, controller.WithSnapshotEvery(100))
+	for i := range 300 {
+		g.takeOut(fmt.Sprint("before", i), fmt.Sprintf("dc%d", i%7))
+	}
+	lost := g.leader()
+	g.stop(lost)
+	g.folders[lost] = c.TempDir()
+	g.start(lost, nil)
+	r := g.takeOut("after", "dc9")
+	g.sameState(r.Index)
+	g.eventually("a whole voter", func() bool { return !g.hosts[lost].Recovering() })
+	for name := range g.addrs {
+		if name != lost {
+			g.stop(name)
+			break
+		}
+	}
+	r = g.takeOut("last", "dc10")
+	g.sameState(r.Index)
+}
+
+// A host with a disk must take the place of a lost voter: as a learner, then as a voter.
+func TestVoterIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, 3)
+	g.takeOut("a", "dc1")
+	leader := g.hosts[g.leader()]
+	lost := ""
+	for name := range g.addrs {
+		if g.hosts[name] != leader {
+			lost = name
+		}
+	}
+	g.stop(lost)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	ln := listen(c, "127.0.0.1:0")
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	g.folders["host4"] = c.TempDir()
+	g.start("host4", ln)
+	c.Assert(leader.AddLearner(ctx, "host4", addr), qt.IsNil)
+	c.Assert(leader.Remove(ctx, lost), qt.IsNil)
+	g.eventually("promotion", func() bool { return leader.Promote(ctx, "host4") == nil })
+	g.addrs["host4"] = addr
+	delete(g.addrs, lost)
+	r := g.takeOut("b", "dc2")
+	g.sameState(r.Index)
+	c.Assert(len(g.hosts["host4"].State().Voters), qt.Equals, 3)
+	c.Assert(len(g.hosts["host4"].Members()), qt.Equals, 3)
+}
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -178,6 +178,9 @@
 	})
 	members := c.core.Members()
 	c.members.Store(&members)
+	if recovering := c.core.Recovering(); c.recovering.Swap(recovering) != recovering {
+		c.log.Info("recovery of an empty data folder", "host", c.settings.name, "recovering", recovering)
+	}
 	if ok != c.wasLeading {
 		c.wasLeading = ok
 		counters.Add("leaderChanges", 1)
--- a/journaler/codec.go
+++ b/journaler/codec.go
@@ -23,6 +23,8 @@
 type hardStateWire struct {
 	Term uint64 `cbor:"1,keyasint"`
 	Vote string `cbor:"2,keyasint"`
+
+	Recovering bool `cbor:"3,keyasint,omitempty"`
 }
 
 // EncodeMembers returns the data of an entry of KindMembers.
--- a/journaler/entry.go
+++ b/journaler/entry.go
@@ -32,6 +32,8 @@
 type HardState struct {
 	Term uint64
 	Vote string
+	// Recovering says that the member lost its disk and has not caught up since.
+	Recovering bool
 }
 
 // Snapshot replaces the log up to Index. Members is the member list in force at Index.
--- a/replicator/effects.go
+++ b/replicator/effects.go
@@ -42,8 +42,9 @@
 	e := r.pending
 	r.pending = Effects{}
 	hard := journaler.HardState{
-		Term: r.term,
-		Vote: r.vote,
+		Term:       r.term,
+		Vote:       r.vote,
+		Recovering: r.recovery.recovering,
 	}
 	if hard != r.savedHard {
 		e.HardState = &hard
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -10,7 +10,7 @@
 // the term, so that a voter that returns from a partition does not unseat a working leader.
 func (r *Replicator) campaign(now time.Time, pre bool) {
 	r.resetElection(now)
-	if !r.members.isVoter(r.name) {
+	if !r.members.isVoter(r.name) || !r.recovery.done() {
 		return
 	}
 	r.leader = ""
@@ -48,6 +48,7 @@
 	if r.role == leader {
 		sticky = now.Before(r.leaseEnd(now))
 	}
+	sticky = sticky || !r.recovery.done()
 	if !sticky && !m.Vote.Pre && m.Term > r.term {
 		r.follow(now, m.Term, "")
 	}
@@ -64,6 +65,7 @@
 		VoteAnswer: &VoteAnswerMsg{
 			Pre:     m.Vote.Pre,
 			Granted: granted,
+			Process: m.Vote.Process,
 		},
 	}
 	if granted {
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -13,10 +13,12 @@
 	if match, ok := r.match(a); ok {
 		answer.Match = match
 		r.commitTo(max(r.commit, min(a.Commit, match)))
+		r.finishRecovery(a, match)
 	} else {
 		answer.Rejected = true
 		answer.Hint = r.hint(a)
 	}
+	answer.Recovery = r.recovery.id()
 	r.send(Message{
 		To:           m.From,
 		AppendAnswer: &answer,
@@ -91,6 +93,7 @@
 	answer := AppendAnswerMsg{
 		Round:         s.Round,
 		SnapshotIndex: s.Index,
+		Recovery:      r.recovery.id(),
 	}
 	defer func() {
 		r.send(Message{
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -33,6 +33,11 @@
 	// snapshotIndex is set while a snapshot is sent, and received says how much of it arrived.
 	snapshotIndex uint64
 	received      uint64
+	// recovery is not zero while the member recovers; recoveryAt is when the leader learned that, and recoveryRound the
+	// last round before.
+	recovery      uint64
+	recoveryAt    time.Time
+	recoveryRound uint64
 }
 
 func (r *Replicator) heartbeat() time.Duration {
@@ -114,6 +119,8 @@
 			Entries:     entries,
 			Commit:      r.commit,
 			MajorityAge: r.majorityAge(now),
+			RecoverTo:   r.recoverTo(now, p),
+			Recovery:    p.recovery,
 		},
 	})
 }
@@ -135,6 +142,8 @@
 			PrevTerm:    prevTerm,
 			Commit:      min(r.commit, prev),
 			MajorityAge: r.majorityAge(now),
+			RecoverTo:   r.recoverTo(now, p),
+			Recovery:    p.recovery,
 		},
 	})
 }
@@ -176,6 +185,9 @@
 	if !ok {
 		return
 	}
+	if !r.noteRecovery(now, p, a) {
+		return
+	}
 	// Rounds are numbered by this process and term, so a late answer only tells about an earlier time.
 	p.acked = max(p.acked, a.Round.SentAt)
 	p.answered = true
@@ -218,6 +230,8 @@
 	for _, m := range r.members.current() {
 		switch {
 		case m.Learner:
+		case m.Name != r.name && r.progress[m.Name].recovery != 0:
+			matches = append(matches, 0)
 		case m.Name == r.name:
 			matches = append(matches, r.durable)
 		default:
--- a/replicator/lease.go
+++ b/replicator/lease.go
@@ -75,7 +75,7 @@
 			n++
 			continue
 		}
-		if p, ok := r.progress[m.Name]; ok && p.answered {
+		if p, ok := r.progress[m.Name]; ok && p.answered && p.recovery == 0 {
 			times = append(times, p.acked)
 			n++
 		}
--- a/replicator/members.go
+++ b/replicator/members.go
@@ -126,7 +126,7 @@
 	}
 	if r.role == leader {
 		p, ok := r.progress[name]
-		if !ok || p.match < r.commit || r.since(now)-p.acked > r.electionTimeout {
+		if !ok || p.match < r.commit || p.recovery != 0 || r.since(now)-p.acked > r.electionTimeout {
 			return 0, errors.Wrapf(ErrNotCaughtUp, "%q", name)
 		}
 	}
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -12,6 +12,8 @@
 	To   string
 	// Term is the sender's term; in a pre-vote it is the term that the sender would start.
 	Term uint64
+	// Empty says that the sender's log has no entry.
+	Empty bool
 
 	Vote         *VoteMsg
 	VoteAnswer   *VoteAnswerMsg
@@ -25,12 +27,15 @@
 	Pre       bool
 	LastIndex uint64
 	LastTerm  uint64
+	// Process identifies the sender's process. The answer returns it.
+	Process uint64
 }
 
 // VoteAnswerMsg answers a VoteMsg.
 type VoteAnswerMsg struct {
 	Pre     bool
 	Granted bool
+	Process uint64
 }
 
 // Round identifies one message of a leader. The answer returns it, so that the leader knows when it sent what was
@@ -50,6 +55,10 @@
 	Commit    uint64
 	// MajorityAge is the time since the leader last had contact with a majority.
 	MajorityAge time.Duration
+	// RecoverTo is the index from which the member whose AppendAnswerMsg had Recovery takes part again, zero if it does
+	// not yet.
+	RecoverTo uint64
+	Recovery  uint64
 }
 
 // AppendAnswerMsg answers an AppendMsg or a SnapshotMsg.
@@ -60,6 +69,8 @@
 	// Rejected says that the entry before the new ones is missing or differs. Hint is an index that may match.
 	Rejected bool
 	Hint     uint64
+	// Recovery is not zero while the member recovers from the loss of its disk; it is another one for each process.
+	Recovery uint64
 	// SnapshotIndex and Received say how much of a snapshot has arrived.
 	SnapshotIndex uint64
 	Received      uint64
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -75,6 +75,8 @@
 	noVoteUntil time.Time
 	incoming    *journaler.Snapshot
 
+	recovery recovery
+
 	savedHard journaler.HardState
 	pending   Effects
 }
@@ -120,6 +122,7 @@
 	if term := r.log.lastTerm(); term > r.term {
 		return nil, errors.Wrapf(journaler.ErrCorrupt, "log has term %d, hard state %d", term, r.term)
 	}
+	r.startRecovery(rec)
 	r.resetElection(now)
 	return &r, nil
 }
@@ -129,6 +132,9 @@
 	if m.To != r.name || m.From == r.name {
 		return
 	}
+	if !r.takesPart(now, m) {
+		return
+	}
 	if m.Vote != nil {
 		r.takeVote(now, m)
 		return
@@ -160,6 +166,10 @@
 		r.tickLeader(now)
 		return
 	}
+	if r.recovery.fresh {
+		r.probe(now)
+		return
+	}
 	if !now.Before(r.electionDeadline) {
 		r.campaign(now, true)
 	}
@@ -187,6 +197,7 @@
 			AppendAnswer: &AppendAnswerMsg{
 				Round:    round,
 				Rejected: true,
+				Recovery: r.recovery.id(),
 			},
 		})
 		return false
@@ -233,6 +244,7 @@
 
 func (r *Replicator) send(m Message) {
 	m.From = r.name
+	m.Empty = r.log.last() == 0
 	if m.Term == 0 {
 		m.Term = r.term
 	}
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -19,6 +19,8 @@
 }
 
 func newSingle(c *qt.C, rec journaler.Recovered) *single {
+	// A disk without a term would be an empty one.
+	rec.HardState.Term = max(1, rec.HardState.Term)
 	s := &single{
 		c:   c,
 		now: time.Unix(0, 0),
