--- a/replicator/message.go
+++ b/replicator/message.go
@@ -27,12 +27,15 @@
 	Pre       bool
 	LastIndex uint64
 	LastTerm  uint64
+	// Process identifies the sender's process. The answer returns it.
+	Process uint64
 }
 
 // VoteAnswerMsg answers a VoteMsg.
 type VoteAnswerMsg struct {
 	Pre     bool
 	Granted bool
+	Process uint64
 }
 
 // Round identifies one message of a leader. The answer returns it, so that the leader knows when it sent what was
--- a/replicator/recovery.go
+++ b/replicator/recovery.go
@@ -61,12 +61,13 @@
 // takesPart learns from m whether the group runs already, and reports whether the member may take m.
 func (r *Replicator) takesPart(now time.Time, m Message) bool {
 	if r.recovery.fresh {
-		if m.Empty {
-			r.recovery.empty[m.From] = true
-		} else {
+		if !m.Empty {
 			r.recovery.fresh, r.recovery.recovering = false, true
+		} else if m.VoteAnswer != nil && m.VoteAnswer.Process == r.recovery.process {
+			// Any other message may be late, from before the disk was lost.
+			r.recovery.empty[m.From] = true
+			r.startGroup()
 		}
-		r.startGroup()
 	}
 	return !r.recovery.recovering || now.Sub(r.started) >= muteTimeouts*r.electionTimeout
 }
@@ -93,7 +94,8 @@
 				To:   m.Name,
 				Term: r.term + 1,
 				Vote: &VoteMsg{
-					Pre: true,
+					Pre:     true,
+					Process: r.recovery.process,
 				},
 			})
 		}
