--- a/participant/property_test.go
+++ b/participant/property_test.go
@@ -1,6 +1,7 @@
 package participant
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -90,9 +91,9 @@
 		}
 	case 9:
 		dc := p.options.Host.DataCentre
-		_, _ = w.machine.Propose(nil, applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc, Out: true}})
+		_, _ = w.machine.Propose(context.Background(), applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc, Out: true}})
 		end(all, func() {
-			_, _ = w.machine.Propose(nil, applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc}})
+			_, _ = w.machine.Propose(context.Background(), applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc}})
 		})
 	case 10:
 		w.loss, w.delay = 0.3, 300*time.Millisecond
@@ -155,7 +156,7 @@
 	c.Assert(w.owned(), qt.Equals, testSlots, qt.Commentf("a target was lost while cut off"))
 	c.Assert(w.run(3*time.Second), qt.IsNil)
 	c.Assert(w.owned(), qt.Equals, testSlots, qt.Commentf("contact is back"))
-	for s, e := range w.machine.State().Slots["tally"].Entries {
+	for s, e := range w.machine.State().Slots["tally"].All() {
 		c.Assert(e.Target, qt.Not(qt.Equals), w.targets[0].name, qt.Commentf("slot %d is not recorded under its owner", s))
 	}
 }
