Delegate a slot without an owner anew, even to the same data centre

Cause: an authority that gave a slot back uses it again only after a new delegation, because the leader may be delegating it elsewhere at that moment. The state machine skipped a delegation to the same data centre, so the slots of a data centre that was restored within a moment had no owner for ever (found by the property test). Change: a DelegateMsg renews the log index of a slot that has no owner. Conclusion: contract change; nothing changes for slots with an owner.

--- a/applier/assign.go
+++ b/applier/assign.go
@@ -33,9 +33,11 @@
 	moved := make(map[keyer.Slot]bool)
 	for _, slot := range m.Slots {
 		old, _ := edit.table.Entry(slot)
-		if old.DataCentre == m.DataCentre {
+		if old.DataCentre == m.DataCentre && old.Target != "" {
 			continue
 		}
+		// A slot without an owner is delegated anew even to the same data centre: an authority that gave the slot back
+		// may use it again only after that.
 		// The epoch stays, so that the next owner's epoch has to be higher.
 		edit.set(SlotEntry{
 			Slot:        slot,
