Follow renewed delegations, and show why slots wait

Cause: the property test over the real state machine found slots that waited for ever: an assignment on its way to the log kept the log index of a delegation that was renewed meanwhile, so each later batch was refused; and a slot that was given back was not taken again when its new delegation became visible before the result of giving it back. Change: the authority reads renewed delegations in every phase and after each result; participant publishes the number of waiting slots by reason (Status and expvar 'ownership').

--- a/granter/propose.go
+++ b/granter/propose.go
@@ -136,6 +136,7 @@
 
 func (g *Granter) assigned(m *applier.AssignMsg, ok bool) {
 	tab := g.tables[m.Service]
+	tab.source = nil
 	for _, c := range m.Owners {
 		s := &tab.slots[c.Slot]
 		if !ok && s.epoch == c.Epoch && s.phase != proposing && s.owner != nil {
--- a/granter/table.go
+++ b/granter/table.go
@@ -141,7 +141,7 @@
 					version: g.bump(s.version),
 				}
 			}
-		case s.phase == elsewhere || s.phase == yielded && e.DelegatedAt > s.delegatedAt:
+		case s.phase == elsewhere || s.phase == yielded && e.Epoch >= s.epoch && !given(e):
 			*s = slot{
 				phase:       free,
 				name:        e.Target,
@@ -152,6 +152,12 @@
 			if given(e) {
 				s.phase = yielded
 			}
+		default:
+			// A delegation that was renewed meanwhile raises the least epoch that the log accepts.
+			s.delegatedAt = max(s.delegatedAt, e.DelegatedAt)
+			if s.phase == free && given(e) {
+				s.phase = yielded
+			}
 		}
 	}
 }
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +39,8 @@
 	calls  sync.WaitGroup
 	done   chan struct{}
 
+	status atomic.Pointer[Status]
+
 	// The fields below belong to the loop.
 	leadingSince  time.Time
 	proposing     bool
@@ -52,6 +56,7 @@
 	connected     []string
 	pledge        pledge
 	config        *configurer.Config
+	statusAt      time.Time
 }
 
 // New returns a Participant that does nothing until Start.
@@ -114,6 +119,7 @@
 
 // Start runs the loop until Close.
 func (p *Participant) Start() {
+	statuses.Set(p.options.Host.Name, expvar.Func(func() any { return p.Status() }))
 	go p.run()
 }
 
@@ -221,6 +227,7 @@
 		})
 	}
 	p.report(now, st)
+	p.publish(now)
 }
 
 // lead runs the delegator while this host is the control leader.
--- a/participant/property_test.go
+++ b/participant/property_test.go
@@ -131,6 +131,10 @@
 			t.Fatal(err)
 		}
 		if n := w.owned(); n != testSlots {
+			for _, p := range w.hosts {
+				t.Logf("%s index %d waits %v pledge %v leader %q", p.name, p.granter.Index(), p.granter.Waits(), p.pledge, p.leader)
+			}
+			t.Logf("data centres %+v", w.machine.State().DataCentres)
 			t.Fatalf("%d of %d slots have an owner 20 s after the faults: %v", n, testSlots, w.trace)
 		}
 	})
