--- a/participant/property_test.go
+++ b/participant/property_test.go
@@ -1,6 +1,7 @@
 package participant
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -90,9 +91,9 @@
 		}
 	case 9:
 		dc := p.options.Host.DataCentre
-		_, _ = w.machine.Propose(nil, applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc, Out: true}})
+		_, _ = w.machine.Propose(context.Background(), applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc, Out: true}})
 		end(all, func() {
-			_, _ = w.machine.Propose(nil, applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc}})
+			_, _ = w.machine.Propose(context.Background(), applier.Command{SetService: &applier.SetServiceMsg{DataCentre: dc}})
 		})
 	case 10:
 		w.loss, w.delay = 0.3, 300*time.Millisecond
@@ -130,6 +131,10 @@
 			t.Fatal(err)
 		}
 		if n := w.owned(); n != testSlots {
+			for _, p := range w.hosts {
+				t.Logf("%s index %d waits %v pledge %v leader %q", p.name, p.granter.Index(), p.granter.Waits(), p.pledge, p.leader)
+			}
+			t.Logf("data centres %+v", w.machine.State().DataCentres)
 			t.Fatalf("%d of %d slots have an owner 20 s after the faults: %v", n, testSlots, w.trace)
 		}
 	})
