--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -45,6 +45,8 @@
 // Job is a request for a target of this host.
 type Job struct {
 	Service *configurer.Service
+	// Table is the one in which Route was found.
+	Table *locator.Table
 	// Key is empty for a request of a shared service without a key.
 	Key    string
 	Slot   keyer.Slot
@@ -126,12 +128,15 @@
 	return route != nil && route.Local && !route.Releasing && !route.OutOfService && route.Lease.Valid(now)
 }
 
-// Resolve returns the current route of a job: that of its slot, or for a shared service that of its target.
+// resolve returns the current route of a job: that of its slot, or for a shared service that of its target.
 func (d *Dispatcher) resolve(j *Job) *locator.Route {
 	table, ok := d.opts.Locator.Load().Table(j.Service.Name)
 	if !ok {
 		return nil
 	}
+	if table == j.Table {
+		return j.Route
+	}
 	if table.Keyed {
 		_, route := table.OwnerOf(j.Key)
 		return route
@@ -187,11 +192,16 @@
 	fields := make([]sender.Field, 0, 6)
 	fields = append(fields,
 		sender.Field{Name: "Bramleyline-Service", Value: j.Service.Name},
-		sender.Field{Name: "Bramleyline-Slot", Value: strconv.FormatUint(uint64(j.Slot), 10)},
-		sender.Field{Name: "Bramleyline-Epoch", Value: strconv.FormatUint(uint64(j.Route.Epoch), 10)},
 		sender.Field{Name: "Bramleyline-Request", Value: j.Identity},
 		sender.Field{Name: "Bramleyline-Deadline", Value: strconv.FormatInt(max(1, time.Until(j.Deadline).Milliseconds()), 10)},
 	)
+	// A target of a shared service owns no slot, and would refuse a request that names one.
+	if j.Service.Keyed {
+		fields = append(fields,
+			sender.Field{Name: "Bramleyline-Slot", Value: strconv.FormatUint(uint64(j.Slot), 10)},
+			sender.Field{Name: "Bramleyline-Epoch", Value: strconv.FormatUint(uint64(j.Route.Epoch), 10)},
+		)
+	}
 	if j.Caller != "" {
 		fields = append(fields, sender.Field{Name: "Bramleyline-Caller-Request", Value: j.Caller})
 	}
@@ -212,8 +222,10 @@
 			if f := d.check(j); f != nil {
 				return f
 			}
-			asserter.Check(l.id.incarnation == j.Route.Incarnation && !j.Route.OutOfService && !j.Route.Releasing,
-				asserter.DrainedTarget, "request %s for target %s, which takes no new work", j.Identity, j.Route.Target)
+			if l.id.incarnation != j.Route.Incarnation || j.Route.OutOfService || j.Route.Releasing {
+				asserter.Check(false, asserter.DrainedTarget, "request %s for target %s, which takes no new work", j.Identity,
+					j.Route.Target)
+			}
 			return nil
 		},
 	})
