--- a/experimenter/cluster.go
+++ b/experimenter/cluster.go
@@ -72,6 +72,13 @@
 	tally := configurer.DefaultService("tally")
 	tally.Keyed = true
 	tally.Ownership.CutOffHold = time.Hour
+	tally.Rebalance = configurer.Rebalance{
+		MoveBudget:    4,
+		MoveWindow:    time.Minute,
+		ImbalanceHigh: 2,
+		ImbalanceLow:  1.3,
+		ChurnWeight:   0.02,
+	}
 	payroll := configurer.DefaultService("payroll")
 	payroll.Deadline = 5 * time.Second
 	dealer := configurer.DefaultService("dealerDesk")
@@ -79,6 +86,14 @@
 	dealer.KeySource = "path:1"
 	dealer.Deadline = time.Second
 	dealer.Ownership.CutOffHold = 2 * time.Minute
+	dealer.Ownership.HandoverWait = 250 * time.Millisecond
+	dealer.Rebalance = configurer.Rebalance{
+		MoveBudget:    32,
+		MoveWindow:    time.Minute,
+		ImbalanceHigh: 1.3,
+		ImbalanceLow:  1.1,
+		ChurnWeight:   0.002,
+	}
 	workshop := configurer.DefaultService("workshopDesk")
 	workshop.Deadline = time.Second
 	return map[string]Setup{
