Give each run of the process tests its own loopback address

Cause: contributors run the process tests side by side on one machine, and hosts of two runs took each other's ports; one run stood still for 300 s with hosts of another in its control group.

Change: each test process uses an address of its own in 127.0.0.0/8, and at most three deployments run at a time.

--- a/process_test.go
+++ b/process_test.go
@@ -101,6 +101,9 @@
 	version int
 }
 
+// running bounds the deployments that run at a time; each has six processes.
+var running = make(chan struct{}, 3)
+
 // startDeployment starts two hosts and five targets in each of three data centres, and waits until each slot is served.
 // Three hosts, one in each data centre, are voters.
 func startDeployment(t *testing.T) *deployment {
@@ -108,6 +111,8 @@
 		t.Skip("starts processes")
 	}
 	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	c := qt.New(t)
 	d := &deployment{
 		c:       c,
@@ -151,10 +156,16 @@
 // nextPort is below the range from which the system picks ports for links, so that no link takes a host's port.
 var nextPort atomic.Uint32
 
+// loopback is an address of this test process's own, so that two runs on one machine never meet.
+func loopback() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid/250%250), byte(1 + pid%250), 1})
+}
+
 func freeAddr(c *qt.C) netip.AddrPort {
-	nextPort.CompareAndSwap(0, 20000+uint32(os.Getpid()%1000)*10)
+	nextPort.CompareAndSwap(0, 20000)
 	for range 1000 {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort.Add(1)))
+		addr := netip.AddrPortFrom(loopback(), uint16(nextPort.Add(1)))
 		ln, err := net.Listen("tcp", addr.String())
 		if err == nil {
 			c.Assert(ln.Close(), qt.IsNil)
