--- a/main.go
+++ b/main.go
@@ -16,11 +16,13 @@
 
 func main() {
 	c := commander.Commander{
-		Args:   os.Args[1:],
-		Stdout: os.Stdout,
-		Stderr: os.Stderr,
-		Serve:  serve,
-		Demo:   demo,
+		Args:    os.Args[1:],
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Serve:   serve,
+		Demo:    demo,
+		Target:  target,
+		Measure: measure,
 	}
 	os.Exit(c.Run())
 }
