Push news of the table instead of waiting for the next interval

Cause: each step of a planned move waited for the next heartbeat or report, 150 ms each, so that a move took about 600 ms, longer than handoverWait (500 ms); requests of the slot were refused meanwhile.

Change: the authority tells its hosts of a new table (Authority.News), a host reports releases, lapsed leases and new targets at once, and the answer to a target's heartbeat is held back until there is news or an interval has passed.

The property tests on virtual time pass with the new message.

--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -62,6 +62,7 @@
 	ackVersion uint64
 	owned      map[keyer.Slot]*Holding
 	releasing  map[keyer.Slot]bool
+	urgent     chan struct{}
 	released   map[keyer.Slot]bool
 	busy       map[keyer.Slot]int
 	inFlight   int
@@ -114,6 +115,7 @@
 		ln:        newListener(ln, e.opts.Connections),
 		owned:     make(map[keyer.Slot]*Holding),
 		releasing: make(map[keyer.Slot]bool),
+		urgent:    make(chan struct{}, 1),
 		released:  make(map[keyer.Slot]bool),
 		busy:      make(map[keyer.Slot]int),
 		cold:      !e.opts.Warm || e.Crashes() > 0,
--- a/emulator/handler.go
+++ b/emulator/handler.go
@@ -225,6 +225,9 @@
 	if run.Keyed {
 		if l.busy[run.Slot]--; l.busy[run.Slot] == 0 {
 			delete(l.busy, run.Slot)
+			if l.releasing[run.Slot] {
+				l.hasten()
+			}
 		}
 	}
 	return result
--- a/emulator/heartbeat.go
+++ b/emulator/heartbeat.go
@@ -29,6 +29,9 @@
 // maxRange bounds a range of slots in a grant, so that a wrong answer cannot occupy the target for long.
 const maxRange = 1 << 20
 
+// errUrgent reports a heartbeat that was given up because a newer one has more to say.
+var errUrgent = errors.New("a newer heartbeat is urgent")
+
 type heartbeatWire struct {
 	Name        string       `json:"name"`
 	Service     string       `json:"service"`
@@ -44,6 +47,7 @@
 	AckVersion  uint64       `json:"ackVersion"`
 	Released    []keyer.Slot `json:"released"`
 	ChecksEpoch bool         `json:"checksEpoch"`
+	WaitMs      int64        `json:"waitMs"`
 }
 
 type grantWire struct {
@@ -87,6 +91,8 @@
 	tick := time.NewTicker(l.e.opts.Heartbeat)
 	defer tick.Stop()
 	for {
+		started := time.Now()
+		before := l.acknowledged()
 		for range len(l.e.opts.Announce) + 1 {
 			if !l.waitThaw() {
 				return
@@ -95,6 +101,9 @@
 			if err == nil && !redirect.IsValid() {
 				break
 			}
+			if errors.Is(err, errUrgent) {
+				continue
+			}
 			if redirect.IsValid() && redirect != host {
 				host = redirect
 				continue
@@ -102,14 +111,51 @@
 			next = (next + 1) % len(l.e.opts.Announce)
 			host = l.e.opts.Announce[next]
 		}
+		// An answer with news is acknowledged at once, and one that was held back for an interval has filled it.
+		if l.acknowledged() != before || time.Since(started) >= l.e.opts.Heartbeat {
+			continue
+		}
 		select {
 		case <-tick.C:
+		case <-l.urgent:
 		case <-l.ctx.Done():
 			return
 		}
 	}
 }
 
+// acknowledged returns the newest table version that the target knows.
+func (l *life) acknowledged() uint64 {
+	l.e.mu.Lock()
+	defer l.e.mu.Unlock()
+	return l.ackVersion
+}
+
+// hasten ends a heartbeat whose answer is held back and sends the next one at once.
+func (l *life) hasten() {
+	select {
+	case l.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// interruptible returns a context that also ends when a heartbeat becomes urgent.
+func (l *life) interruptible(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-l.urgent:
+			cancel()
+		case <-ended:
+		}
+	}()
+	return ctx, func() {
+		close(ended)
+		cancel()
+	}
+}
+
 // heartbeat asks one host for the lease. It returns the address of another host if that one is to be asked.
 func (l *life) heartbeat(client *http.Client, host netip.AddrPort) (netip.AddrPort, error) {
 	announcement := l.announcement()
@@ -117,17 +163,22 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "heartbeat")
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, heartbeatTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, heartbeatTimeout+l.e.opts.Heartbeat)
 	defer cancel()
+	interrupted, end := l.interruptible(ctx)
+	defer end()
 	asked := time.Now()
 	url := "http://" + host.String() + "/v1/heartbeat"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(interrupted, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "heartbeat")
 	}
 	req.Header.Set("Authorization", "Bearer "+l.e.opts.Token)
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
+	if err != nil && interrupted.Err() != nil && ctx.Err() == nil {
+		return netip.AddrPort{}, errUrgent
+	}
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "heartbeat")
 	}
@@ -179,6 +230,7 @@
 		AckVersion:  l.ackVersion,
 		Released:    []keyer.Slot{},
 		ChecksEpoch: !e.opts.IgnoresEpoch,
+		WaitMs:      e.opts.Heartbeat.Milliseconds(),
 	}
 	if e.opts.Advertise.IsValid() {
 		hb.Address = e.opts.Advertise.String()
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -109,6 +109,11 @@
 	return g.index
 }
 
+// Version returns the version of the table.
+func (g *Granter) Version() uint64 {
+	return g.version
+}
+
 func (g *Granter) emit(effect any) {
 	g.effects = append(g.effects, effect)
 }
--- a/participant/calls.go
+++ b/participant/calls.go
@@ -149,12 +149,13 @@
 // granted takes the authority's answer. A new table is acknowledged at once, because moves wait for that.
 func (p *Participant) granted(now, asked time.Time, g reporter.GrantMsg) {
 	if len(g.Targets)+len(g.Slots) > 0 {
-		p.reportAt = time.Time{}
+		p.hurry()
 	}
 	p.tracker.Update(now, tracker.GrantedMsg{
 		Asked: asked,
 		Grant: g,
 	})
+	p.announceNews()
 }
 
 // grant passes a message to the granter and carries its effects out; answers to reports are returned.
@@ -178,6 +179,7 @@
 			Result:    r,
 			Err:       err,
 		})
+		p.spread()
 	})
 }
 
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -57,6 +57,13 @@
 	pledge        pledge
 	config        *configurer.Config
 	statusAt      time.Time
+	// wake makes the loop tick at once. news is closed when the table of this host changes.
+	wake          chan struct{}
+	news          chan struct{}
+	newsVersion   uint64
+	spreadVersion uint64
+	// telling has the hosts that are being told of a new table.
+	telling map[string]bool
 }
 
 // New returns a Participant that does nothing until Start.
@@ -77,6 +84,9 @@
 		},
 		inbox:       make(chan func(now time.Time), 256),
 		done:        make(chan struct{}),
+		wake:        make(chan struct{}, 1),
+		news:        make(chan struct{}),
+		telling:     make(map[string]bool),
 		directories: make(map[string]delegator.DirectoryMsg),
 	}
 	p.granter = &granter.Granter{
@@ -150,6 +160,8 @@
 		case <-changed:
 			changed = p.options.Source.Changed()
 			p.tick(time.Now())
+		case <-p.wake:
+			p.tick(time.Now())
 		case <-ticker.C:
 			p.tick(time.Now())
 		}
@@ -185,14 +197,6 @@
 	}
 }
 
-func (p *Participant) heartbeat(ctx context.Context, m tracker.HeartbeatMsg) (tracker.HeartbeatReply, error) {
-	var reply tracker.HeartbeatReply
-	err := p.ask(ctx, func(now time.Time) {
-		reply = p.beatOfTarget(now, m)
-	})
-	return reply, err
-}
-
 func (p *Participant) beatOfTarget(now time.Time, m tracker.HeartbeatMsg) (reply tracker.HeartbeatReply) {
 	for _, e := range p.tracker.Update(now, m) {
 		if r, ok := e.(tracker.HeartbeatReply); ok {
@@ -227,6 +231,8 @@
 		})
 	}
 	p.report(now, st)
+	p.spread()
+	p.announceNews()
 	p.publish(now)
 }
 
--- a/participant/world_test.go
+++ b/participant/world_test.go
@@ -127,6 +127,9 @@
 			answer = to.answerReport(to.now(), *m)
 		case *granter.PromiseMsg:
 			answer = to.promise(to.now(), *m)
+		case *NewsMsg:
+			to.hear(*m)
+			answer = NewsReply{}
 		}
 		w.send(&to.clock, &p.clock, func() {
 			if !ended {
--- a/tracker/handler.go
+++ b/tracker/handler.go
@@ -40,6 +40,7 @@
 	AckVersion  uint64         `json:"ackVersion"`
 	Released    []keyer.Slot   `json:"released"`
 	ChecksEpoch bool           `json:"checksEpoch"`
+	WaitMs      int64          `json:"waitMs"`
 }
 
 // wireReply is the JSON form of a HeartbeatReply that grants a lease.
@@ -140,6 +141,7 @@
 		AckVersion:  m.AckVersion,
 		Released:    m.Released,
 		ChecksEpoch: m.ChecksEpoch,
+		Wait:        time.Duration(m.WaitMs) * time.Millisecond,
 	}, strings.Join(faults, "; ")
 }
 
--- a/tracker/heartbeat.go
+++ b/tracker/heartbeat.go
@@ -18,10 +18,7 @@
 		},
 		incarnation: m.Incarnation,
 	}
-	t.heard[key] = &heard{
-		msg: m,
-		at:  t.now,
-	}
+	t.hear(key, m)
 	reply := HeartbeatReply{
 		Version:     t.version,
 		NoAuthority: t.index == 0,
@@ -51,6 +48,19 @@
 	return reply
 }
 
+// hear records a heartbeat. A repeated one is the same heartbeat, answered anew: it is no further sign of life.
+func (t *Tracker) hear(key heardKey, m HeartbeatMsg) {
+	old, ok := t.heard[key]
+	if ok && m.Repeated {
+		return
+	}
+	t.urgent = t.urgent || !ok || old.msg.State != m.State
+	t.heard[key] = &heard{
+		msg: m,
+		at:  t.now,
+	}
+}
+
 // confirmReleases takes the slots that the target gave up. An acknowledged version from before the release belongs to
 // an earlier hand-over of the same slot.
 func (t *Tracker) confirmReleases(key targetKey, m HeartbeatMsg) {
@@ -61,6 +71,7 @@
 		}
 		if e := &slots[s]; e.target == key.name && e.releasing && m.AckVersion >= e.version {
 			t.dirty = t.dirty || !e.givenUp
+			t.urgent = t.urgent || !e.givenUp
 			e.givenUp = true
 		}
 	}
--- a/tracker/message.go
+++ b/tracker/message.go
@@ -28,6 +28,10 @@
 	AckVersion  uint64
 	Released    []keyer.Slot
 	ChecksEpoch bool
+	// Wait is how long the target waits for the answer if there is nothing new.
+	Wait time.Duration
+	// Repeated says that the same heartbeat is answered again.
+	Repeated bool
 }
 
 // HeartbeatReply is the effect that answers a HeartbeatMsg.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -33,7 +33,9 @@
 	slots    map[string][]entry
 	current  locator.Current
 	dirty    bool
-	built    buildKey
+	// urgent says that the authority has to know something soon: a release, a lapsed lease or a new target.
+	urgent bool
+	built  buildKey
 }
 
 type targetKey struct {
@@ -81,6 +83,23 @@
 	return &t.current
 }
 
+// Version returns the version of the table, and Index the log index of the authority that gave it.
+func (t *Tracker) Version() uint64 {
+	return t.version
+}
+
+// Index returns the log index of the authority that answered last.
+func (t *Tracker) Index() uint64 {
+	return t.index
+}
+
+// TakeUrgent reports whether the next report should be sent at once, and forgets it.
+func (t *Tracker) TakeUrgent() bool {
+	urgent := t.urgent
+	t.urgent = false
+	return urgent
+}
+
 // Update takes one message and returns its effects: a HeartbeatReply for each HeartbeatMsg.
 func (t *Tracker) Update(now time.Time, msg any) []any {
 	t.now = now
@@ -123,6 +142,7 @@
 		}
 		tg.lapsed = true
 		t.dirty = true
+		t.urgent = true
 		slots := t.slots[key.service]
 		for i := range slots {
 			if slots[i].target == key.name {
