--- a/follower/follower.go
+++ b/follower/follower.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,23 +113,38 @@
 
 func (f *Follower) run() {
 	defer close(f.done)
-	for i := 0; f.ctx.Err() == nil; {
-		if len(f.sources) == 0 {
-			<-f.ctx.Done()
-			return
+	for f.ctx.Err() == nil {
+		for _, s := range f.candidates() {
+			for f.ctx.Err() == nil {
+				if err := f.pull(s); err != nil {
+					counters.Add("failedPulls", 1)
+					break
+				}
+			}
 		}
-		err := f.pull(f.sources[i%len(f.sources)])
-		if err == nil {
-			continue
+		select {
+		case <-time.After(retryWait):
+		case <-f.ctx.Done():
 		}
-		counters.Add("failedPulls", 1)
-		if i++; i%len(f.sources) == 0 {
-			select {
-			case <-time.After(retryWait):
-			case <-f.ctx.Done():
-			}
+	}
+}
+
+// candidates returns the configured sources, and then the control hosts of the state that are not among them: after
+// replacements none of the configured ones may be left.
+func (f *Follower) candidates() []Source {
+	sources := slices.Clone(f.sources)
+	hosts := f.State().Hosts
+	for _, name := range slices.Sorted(maps.Keys(hosts)) {
+		h := hosts[name]
+		known := slices.ContainsFunc(f.sources, func(s Source) bool { return s.Name == name && s.Addr == h.RPC })
+		if h.Control && h.RPC.IsValid() && !known {
+			sources = append(sources, Source{
+				Name: name,
+				Addr: h.RPC,
+			})
 		}
 	}
+	return sources
 }
 
 // pull makes one call. Its error says that another source should be tried.
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -49,10 +49,13 @@
 	maybe := false
 	reason := errors.New("no control host is known")
 	for ctx.Err() == nil {
-		for _, name := range p.order() {
-			if ctx.Err() != nil {
+		tried := make(map[string]bool)
+		for ctx.Err() == nil {
+			name, ok := p.next(tried)
+			if !ok {
 				break
 			}
+			tried[name] = true
 			result, applied, err := p.attempt(ctx, name, data)
 			if err == nil {
 				return result, nil
@@ -71,20 +74,21 @@
 	return applier.Result{}, errors.Wrap(ErrNotApplied, reason.Error())
 }
 
-// order returns the names of all hosts, the last known leader first.
-func (p *Proposer) order() []string {
+// next returns a host that was not tried yet, the leader first if one is known by now.
+func (p *Proposer) next(tried map[string]bool) (string, bool) {
 	p.mu.Lock()
 	leader := p.leader
 	p.mu.Unlock()
-	var names []string
-	for name := range p.Hosts() {
-		if name == leader {
-			names = append([]string{name}, names...)
-		} else {
-			names = append(names, name)
+	hosts := p.Hosts()
+	if _, ok := hosts[leader]; ok && !tried[leader] {
+		return leader, true
+	}
+	for name := range hosts {
+		if !tried[name] {
+			return name, true
 		}
 	}
-	return names
+	return "", false
 }
 
 // attempt proposes at one host. On an error, applied says whether the command may have been applied.
