Show leadership only when the state is complete; bound memory by size; lock the data folder

Cause: a new test found that a controller said that it leads when its entry was committed but before that entry and the ones before it were applied, so that a granter could have read a state without commands that an earlier leader had acknowledged.

Change: leadership is shown after all committed commands were applied, and still withdrawn before a vote leaves.

the data folder keeps a second process off, also when the first one is only paused.

No figures taken for the memory.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 	settings settings
 	log      *log.Logger
 
+	lock    io.Closer
 	journal *journaler.Journaler
 	core    *replicator.Replicator
 	feed    *feed
@@ -42,6 +44,8 @@
 	// lastSnapshot is the index of the newest snapshot; snapshotting says that the next one is being encoded.
 	lastSnapshot uint64
 	snapshotting bool
+	// appliedBytes is the size of the entries applied since the last snapshot was begun.
+	appliedBytes int
 	wasLeading   bool
 
 	lead    atomic.Pointer[replicator.Lead]
@@ -77,6 +81,20 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	lock, err := s.lock()
+	if err != nil {
+		return nil, errors.Wrapf(err, "data folder of %s", s.name)
+	}
+	c, err := open(s)
+	if err != nil {
+		_ = lock.Close()
+		return nil, err
+	}
+	c.lock = lock
+	return c, nil
+}
+
+func open(s settings) (*Controller, error) {
 	journal, rec, err := journaler.Open(s.fileSystem)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open log of %s", s.name)
@@ -187,8 +205,7 @@
 	c.closeOnce.Do(func() {
 		close(c.stop)
 		c.startOnce.Do(func() {
-			_ = c.journal.Close()
-			close(c.done)
+			c.finish(nil)
 		})
 	})
 	<-c.done
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 
 	"bramleyline.example/bramleyline/applier"
@@ -109,11 +110,9 @@
 		return nil, 0, false
 	}
 	to = f.state.Index
+	first := sort.Search(len(f.commands), func(i int) bool { return f.commands[i].index > index })
 	size := 0
-	for _, c := range f.commands {
-		if c.index <= index {
-			continue
-		}
+	for _, c := range f.commands[first:] {
 		if size += len(c.data); size > maxBytes && len(commands) > 0 {
 			return commands, commands[len(commands)-1].index, true
 		}
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -13,6 +13,8 @@
 const (
 	// ticksPerTimeout is the number of ticks within the election timeout.
 	ticksPerTimeout = 20
+	// snapshotBytes is the size of applied entries after which a snapshot replaces them, however few they are.
+	snapshotBytes = 16 << 20
 	// maxBatch is the number of messages and proposals that are made durable together.
 	maxBatch = 512
 )
@@ -75,9 +77,13 @@
 func (c *Controller) carryOut() error {
 	for {
 		e := c.core.Effects()
-		// A leadership that ended is withdrawn before a vote for another member leaves this host.
-		c.publish(time.Now())
+		if _, ok := c.core.Leading(time.Now()); !ok {
+			// A leadership that ended is withdrawn before a vote for another member leaves this host.
+			c.lead.Store(nil)
+		}
 		if e.Empty() {
+			// A leadership that began is shown only after all committed commands were applied.
+			c.publish(time.Now())
 			if c.core.Leader() != c.settings.name {
 				c.abandon()
 			}
@@ -110,6 +116,9 @@
 		return nil
 	}
 	state := c.feed.current()
+	for _, e := range entries {
+		c.appliedBytes += len(e.Data)
+	}
 	applied := make([]appliedCommand, 0, len(entries))
 	results := make([]applier.Result, 0, len(entries))
 	for _, e := range entries {
@@ -197,6 +206,7 @@
 	if closeErr := c.journal.Close(); err == nil {
 		err = closeErr
 	}
+	_ = c.lock.Close()
 	c.err = err
 	close(c.done)
 }
@@ -209,10 +219,11 @@
 
 // encodeSnapshot encodes the state in the background when enough entries were applied; the state is immutable.
 func (c *Controller) encodeSnapshot(state *applier.State) {
-	if c.snapshotting || state.Index < c.lastSnapshot+c.settings.snapshotEvery {
+	due := state.Index >= c.lastSnapshot+c.settings.snapshotEvery || c.appliedBytes >= snapshotBytes
+	if c.snapshotting || !due {
 		return
 	}
-	c.snapshotting = true
+	c.snapshotting, c.appliedBytes = true, 0
 	go func() {
 		data, err := applier.EncodeSnapshot(state)
 		c.snapshots <- encodedSnapshot{
--- a/controller/options.go
+++ b/controller/options.go
@@ -105,6 +105,14 @@
 	return nil
 }
 
+// lock keeps a second process off a data folder on disk.
+func (s *settings) lock() (io.Closer, error) {
+	if d, ok := s.fileSystem.(journaler.Disk); ok {
+		return d.Lock()
+	}
+	return io.NopCloser(nil), nil
+}
+
 func (s *settings) firstMembers() []journaler.Member {
 	members := make([]journaler.Member, 0, len(s.voters))
 	for name, addr := range s.voters {
--- a/journaler/filesystem.go
+++ b/journaler/filesystem.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -81,6 +82,22 @@
 	return firstError(f.Sync(), f.Close())
 }
 
+// Lock keeps other processes from using the folder until the result is closed or the process ends. Two processes that
+// write one log would destroy it: a paused process may return after a new one was started.
+func (d Disk) Lock() (io.Closer, error) {
+	if err := os.MkdirAll(d.Folder, 0o700); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	f, err := os.OpenFile(filepath.Join(d.Folder, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, firstError(errors.Wrapf(ErrInUse, "%s: %v", d.Folder, err), f.Close())
+	}
+	return f, nil
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -12,6 +12,8 @@
 var (
 	// ErrCorrupt reports a record, snapshot or hard state that was durable and can no longer be read.
 	ErrCorrupt = errors.New("corrupt file")
+	// ErrInUse reports a data folder that another process uses.
+	ErrInUse = errors.New("data folder is in use")
 	// ErrFailed reports a journal on which a write or a sync failed before. Whether that data is durable is unknown, so
 	// the journal takes nothing more; the voter has to be replaced or, after the disk was checked, restarted.
 	ErrFailed = errors.New("journal failed")
--- a/replicator/effects.go
+++ b/replicator/effects.go
@@ -9,9 +9,12 @@
 	"bramleyline.example/bramleyline/journaler"
 )
 
-// trailing is the number of entries that stay in memory behind a snapshot, so that a member that is a little late does
-// not need the whole snapshot.
-const trailing = 1024
+// trailingEntries and trailingBytes bound the entries that stay in memory behind a snapshot, so that a member that is a
+// little late does not need the whole snapshot.
+const (
+	trailingEntries = 1024
+	trailingBytes   = 4 << 20
+)
 
 // Effects is what the driver has to do, in the order of the fields, before it calls Saved. If something cannot be made
 // durable, nothing of what follows may be done.
@@ -99,8 +102,6 @@
 		return
 	}
 	r.snapshot = s
-	if s.Index > trailing {
-		r.log.compact(min(s.Index, max(r.log.offset, s.Index-trailing)))
-	}
+	r.log.compact(r.log.trailing(s.Index, trailingEntries, trailingBytes))
 	r.members.compact(s.Index)
 }
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -50,6 +50,18 @@
 	return all
 }
 
+// trailing returns the index after which the entries up to index are within both bounds.
+func (l *entryLog) trailing(index uint64, maxEntries, maxBytes int) uint64 {
+	first, size := index, 0
+	for first > l.offset && index-first < uint64(maxEntries) {
+		if size += len(l.entries[first-l.offset-1].Data); size > maxBytes {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // truncate removes the entries after index. The rest gets an array of its own on the next append, because effects and
 // messages still refer to the old one.
 func (l *entryLog) truncate(index uint64) {
