--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/follower"
+	"bramleyline.example/bramleyline/messenger"
 )
 
 // BenchmarkCommit measures a commit in a group over loopback, with one proposal at a time and with 64 at a time.
@@ -38,3 +43,69 @@
 		})
 	}
 }
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkFollower measures the time from a proposal to the changed state on a host without a log, and the bytes of that
+// host's connection for each change.
+func BenchmarkFollower(b *testing.B) {
+	c := qt.New(b)
+	g := startGroup(c, 3)
+	g.takeOut("first", "dc1")
+	name := g.leader()
+	var bytes atomic.Int64
+	m := &messenger.Messenger{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{
+				Conn:  conn,
+				bytes: &bytes,
+			}, nil
+		},
+	}
+	f := follower.New(m, []follower.Source{{
+		Name: name,
+		Addr: g.addrs[name],
+	}}, nil)
+	f.Start()
+	defer func() { _ = f.Close() }()
+	g.eventually("state", func() bool { return f.State().Index > 0 })
+	bytes.Store(0)
+	id := 0
+	for b.Loop() {
+		id++
+		r, err := g.hosts[name].Propose(context.Background(), takeOut(fmt.Sprint("f", id), "dc1"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		for changed := f.Changed(); f.State().Index < r.Index; changed = f.Changed() {
+			if f.State().Index >= r.Index {
+				break
+			}
+			<-changed
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(id), "B/change")
+	bytes.Store(0)
+	time.Sleep(2 * time.Second)
+	b.ReportMetric(float64(bytes.Load())/2, "idleB/s")
+}
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -6,8 +6,8 @@
 	"github.com/pkg/errors"
 )
 
-// segmentBytes is the size from which a new segment is started.
-const segmentBytes = 8 << 20
+// segmentBytes is the size from which a new segment is started. Only tests change it.
+var segmentBytes uint64 = 8 << 20
 
 var (
 	// ErrCorrupt reports a record, snapshot or hard state that was durable and can no longer be read.
--- a/journaler/open.go
+++ b/journaler/open.go
@@ -91,6 +91,9 @@
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
+		if len(b) == 0 && i < len(j.segments)-1 {
+			return nil, errors.Wrapf(ErrCorrupt, "%s: no record at offset 0", name)
+		}
 		offset := 0
 		for offset < len(b) {
 			e, _, size, ok := readRecord(b[offset:])
@@ -99,9 +102,6 @@
 					return nil, errors.Wrapf(ErrCorrupt, "%s: record at offset %d", name, offset)
 				}
 				r.TornBytes = len(b) - offset
-				if err := j.replaceFile(name, b[:offset]); err != nil {
-					return nil, j.fail(err)
-				}
 				break
 			}
 			if entries, ok = splice(entries, e); !ok {
@@ -109,10 +109,29 @@
 			}
 			offset += size
 		}
+		if offset == len(b) && offset > 0 {
+			continue
+		}
+		if err := j.cutSegment(i, b[:offset]); err != nil {
+			return nil, j.fail(err)
+		}
 	}
 	return entries, nil
 }
 
+// cutSegment replaces the segment with number i by its valid part. An empty one is removed: its name says that it
+// replaces entries that are still only in the segment before.
+func (j *Journaler) cutSegment(i int, valid []byte) error {
+	if len(valid) > 0 {
+		return j.replaceFile(j.segments[i], valid)
+	}
+	if err := j.removeFile(j.segments[i]); err != nil {
+		return err
+	}
+	j.segments = j.segments[:i]
+	return nil
+}
+
 // splice adds e to entries, after cutting off those that it replaces. It returns false if e leaves a gap.
 func splice(entries []Entry, e Entry) ([]Entry, bool) {
 	if len(entries) == 0 || e.Index < entries[0].Index {
