--- a/commander/remote.go
+++ b/commander/remote.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"os/user"
 	"strings"
 	"time"
 
@@ -73,13 +74,23 @@
 
 // changes adds the flags of commands that change something.
 func (r *remote) changes() {
-	user := os.Getenv("USER")
-	r.flags.StringVar(&r.operator, "operator", user, "`name` that is recorded with the change")
+	r.flags.StringVar(&r.operator, "operator", userName(), "`name` that is recorded with the change")
 	r.flags.BoolVar(&r.wait, "wait", false, "wait until each reachable host knows the change")
 	r.flags.DurationVar(&r.waitFor, "waitFor", waitDefault, "how long -wait waits")
 	r.flags.BoolVar(&r.force, "force", false, "send a change that takes service away")
 }
 
+// userName returns the name of the user who runs the process. Processes that the platform starts often lack USER.
+func userName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
 func (r *remote) command(help, long, line string, exec func(context.Context, *requester.Requester, []string) error) *ffcli.Command {
 	name := r.flags.Name()
 	return &ffcli.Command{
--- a/commander/remote_test.go
+++ b/commander/remote_test.go
@@ -295,3 +295,12 @@
 	_, err := checker.Stored(&f.control.st.Config, "krakow")
 	f.c.Assert(err, qt.ErrorMatches, "configuration version 1 has 1 findings, .*")
 }
+
+// A process that the platform starts often lacks USER; a change must still be recorded under a name.
+func TestOperatorIsTheUserOfTheProcess(t *testing.T) {
+	c := qt.New(t)
+	c.Setenv("USER", "")
+	c.Assert(userName(), qt.Not(qt.Equals), "")
+	c.Setenv("USER", "ada")
+	c.Assert(userName(), qt.Equals, "ada")
+}
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -72,8 +72,12 @@
 		}
 		return a
 	}
+	facts := o.facts(ctx)
+	if message, ok := refuseShorterHold(o.shortened(st, &report), unaware(st, &facts)); ok {
+		return refused("%s", message)
+	}
 	if !req.Force {
-		if losses := o.losses(ctx, st, &report); len(losses) > 0 {
+		if losses := o.losses(st, &facts, &report); len(losses) > 0 {
 			return presenter.Answer{
 				Outcome:  presenter.NeedsForce,
 				Message:  "the change takes service away; send it with -force if that is meant",
--- a/operator/apply_test.go
+++ b/operator/apply_test.go
@@ -145,3 +145,32 @@
 	_, a := f.post(configurations, noKrakow)
 	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
 }
+
+// A cut-off data centre goes on by the hold that it knows: with a shorter one the control leader would give its slots
+// to others while it still grants them.
+func TestHoldIsNotShortenedWhileAHostMayBeCutOff(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	f.facts.Hosts = []HostFacts{
+		{Name: "krakow-1", Reachable: true, ConfigVersion: 1},
+		{Name: "bielsko-1"},
+		{Name: "rzeszow-1", Reachable: true},
+	}
+	shorter := f.change(1, "ada", "32")
+	shorter.Base = strings.Replace(shorter.Base, "cutOffHold = 1h", "cutOffHold = 2m", 1)
+	shorter.Force = true
+	_, a := f.post(configurations, shorter)
+	c.Assert(a.Outcome, qt.Equals, presenter.Refused)
+	c.Assert(a.Message, qt.Matches, "cutOffHold of tally .*: bielsko-1, rzeszow-1")
+	longer := f.change(1, "ada", "32")
+	longer.Base = strings.Replace(longer.Base, "cutOffHold = 1h", "cutOffHold = 3h", 1)
+	_, a = f.post(configurations, longer)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	for i := range f.facts.Hosts {
+		f.facts.Hosts[i].Reachable = true
+		f.facts.Hosts[i].ConfigVersion = 2
+	}
+	shorter.Expect = 2
+	_, a = f.post(configurations, shorter)
+	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+}
--- /dev/null
+++ b/operator/hold.go
@@ -0,0 +1,48 @@
+package operator
+
+import (
+	"slices"
+	"strings"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/checker"
+)
+
+// shortened returns the services whose cutOffHold the new configuration shortens.
+func (o *Operator) shortened(st *applier.State, report *checker.Report) []string {
+	old, next := o.configOf(st), report.Any()
+	if old == nil {
+		return nil
+	}
+	var names []string
+	for _, s := range next.Services {
+		if before, ok := old.Service(s.Name); ok && s.Keyed && s.Ownership.CutOffHold < before.Ownership.CutOffHold {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// unaware returns the hosts that may not have the configuration in force: those that do not answer and those that
+// report an older version.
+func unaware(st *applier.State, facts *Facts) []string {
+	var names []string
+	for _, h := range hostRows(st, facts) {
+		if !h.Reachable || h.Version < st.Config.Version {
+			names = append(names, h.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// refuseShorterHold refuses a shorter cutOffHold while a host may be cut off. Such a host goes on granting for the hold
+// that it knows, so the control leader must not give its slots to others after the new, shorter one. Force does not
+// change that.
+func refuseShorterHold(services, hosts []string) (string, bool) {
+	if len(services) == 0 || len(hosts) == 0 {
+		return "", false
+	}
+	return "cutOffHold of " + strings.Join(services, ", ") + " cannot be shortened while hosts may go on by the longer one: " +
+		strings.Join(hosts, ", "), true
+}
--- a/operator/losses.go
+++ b/operator/losses.go
@@ -13,17 +13,16 @@
 const lost = "lost"
 
 // losses says which services a new configuration leaves without data centres or targets.
-func (o *Operator) losses(ctx context.Context, st *applier.State, report *checker.Report) []string {
+func (o *Operator) losses(st *applier.State, facts *Facts, report *checker.Report) []string {
 	names := report.DataCentres()
 	cfg := report.Configs[names[0]]
-	facts := o.facts(ctx)
 	old := o.configOf(st)
 	var losses []string
 	if old != nil {
 		for _, s := range old.Services {
 			if _, ok := cfg.Service(s.Name); !ok {
 				losses = append(losses, fmt.Sprintf("service %s is removed: it has %d targets", s.Name,
-					countTargets(st, &facts, s.Name, old.DataCentres)))
+					countTargets(st, facts, s.Name, old.DataCentres)))
 			}
 		}
 	}
@@ -34,8 +33,8 @@
 		if old == nil {
 			continue
 		}
-		before := countTargets(st, &facts, s.Name, old.DataCentres)
-		if after := countTargets(st, &facts, s.Name, names); before > 0 && after == 0 {
+		before := countTargets(st, facts, s.Name, old.DataCentres)
+		if after := countTargets(st, facts, s.Name, names); before > 0 && after == 0 {
 			losses = append(losses, fmt.Sprintf("service %s is left without targets: its %d targets are in data centres "+
 				"that are removed", s.Name, before))
 		}
