--- a/applier/assign.go
+++ b/applier/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/keyer"
@@ -33,9 +34,11 @@
 	moved := make(map[keyer.Slot]bool)
 	for _, slot := range m.Slots {
 		old, _ := edit.table.Entry(slot)
-		if old.DataCentre == m.DataCentre {
+		if old.DataCentre == m.DataCentre && old.Target != "" {
 			continue
 		}
+		// A slot without an owner is delegated anew even to the same data centre: an authority that gave the slot back
+		// may use it again only after that.
 		// The epoch stays, so that the next owner's epoch has to be higher.
 		edit.set(SlotEntry{
 			Slot:        slot,
@@ -114,7 +117,9 @@
 	if next == nil {
 		next = make(map[string]SlotEntry, len(keys))
 	}
-	for key, c := range keys {
+	// The order decides which refusal is given, and all hosts have to remember the same one.
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		c := keys[key]
 		entry, known := e.table.Entry(c.Slot)
 		if previous, ok := old[key]; ok && previous.Slot == c.Slot {
 			previous.DataCentre, previous.DelegatedAt = entry.DataCentre, entry.DelegatedAt
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,12 +31,16 @@
 	granter   *granter.Granter
 	delegator *delegator.Delegator
 
+	transport transport
+
 	inbox  chan func(now time.Time)
 	ctx    context.Context
 	cancel context.CancelFunc
 	calls  sync.WaitGroup
 	done   chan struct{}
 
+	status atomic.Pointer[Status]
+
 	// The fields below belong to the loop.
 	leadingSince  time.Time
 	proposing     bool
@@ -50,6 +56,7 @@
 	connected     []string
 	pledge        pledge
 	config        *configurer.Config
+	statusAt      time.Time
 }
 
 // New returns a Participant that does nothing until Start.
@@ -81,6 +88,7 @@
 	p.delegator = &delegator.Delegator{
 		Config: func() *configurer.Config { return p.config },
 	}
+	p.transport = remote{p: p}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p, nil
 }
@@ -111,6 +119,7 @@
 
 // Start runs the loop until Close.
 func (p *Participant) Start() {
+	statuses.Set(p.options.Host.Name, expvar.Func(func() any { return p.Status() }))
 	go p.run()
 }
 
@@ -176,29 +185,23 @@
 	}
 }
 
-// call runs f in a goroutine of its own, with a limit on its time.
-func (p *Participant) call(limit time.Duration, f func(ctx context.Context)) {
-	p.calls.Add(1)
-	go func() {
-		defer p.calls.Done()
-		ctx, cancel := context.WithTimeout(p.ctx, limit)
-		defer cancel()
-		f(ctx)
-	}()
-}
-
 func (p *Participant) heartbeat(ctx context.Context, m tracker.HeartbeatMsg) (tracker.HeartbeatReply, error) {
 	var reply tracker.HeartbeatReply
 	err := p.ask(ctx, func(now time.Time) {
-		for _, e := range p.tracker.Update(now, m) {
-			if r, ok := e.(tracker.HeartbeatReply); ok {
-				reply = r
-			}
-		}
+		reply = p.beatOfTarget(now, m)
 	})
 	return reply, err
 }
 
+func (p *Participant) beatOfTarget(now time.Time, m tracker.HeartbeatMsg) (reply tracker.HeartbeatReply) {
+	for _, e := range p.tracker.Update(now, m) {
+		if r, ok := e.(tracker.HeartbeatReply); ok {
+			reply = r
+		}
+	}
+	return reply
+}
+
 // tick runs the parts of this host over the newest state.
 func (p *Participant) tick(now time.Time) {
 	cfg, st := p.options.Config(), p.options.Source.State()
@@ -224,6 +227,7 @@
 		})
 	}
 	p.report(now, st)
+	p.publish(now)
 }
 
 // lead runs the delegator while this host is the control leader.
@@ -248,19 +252,9 @@
 		return
 	}
 	p.proposing = true
-	p.call(proposeLimit, func(ctx context.Context) {
-		var index uint64
-		for _, cmd := range commands {
-			r, err := p.options.Proposer.Propose(ctx, cmd)
-			if err != nil {
-				break
-			}
-			index = max(index, r.Index)
-		}
-		p.post(func(time.Time) {
-			p.proposing = false
-			p.proposedIndex = index
-		})
+	p.transport.propose(proposeLimit, commands, func(_ time.Time, last applier.Result, _ error) {
+		p.proposing = false
+		p.proposedIndex = max(p.proposedIndex, last.Index)
 	})
 }
 
--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -1,6 +1,7 @@
 package replicator_test
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -30,31 +31,36 @@
 	index       uint64
 	chain       uint64
 	lastTaken   uint64
-}
-
-type flight struct {
-	at time.Duration
-	m  replicator.Message
+	// joined says that the member has taken part since its disk was empty.
+	joined bool
 }
 
 // cluster runs members on one virtual clock, and keeps what must never change: the leader of each term and the
 // committed entry of each index.
 type cluster struct {
-	rng       *rand.Rand
-	now       time.Duration
-	members   map[string]*member
-	first     []journaler.Member
-	flights   []flight
+	rng     *rand.Rand
+	now     time.Duration
+	members map[string]*member
+	first   []journaler.Member
+	flights []flight
+	// cut puts members on two sides of a partition, and links has single directions that are cut.
 	cut       map[string]int
+	links     map[[2]string]bool
 	leaders   map[uint64]string
 	committed map[uint64]string
 	chains    map[uint64]uint64
 	proposals int
 	pad       int
+	// large is the largest size of a command; large ones are sent one at a time.
+	large int
 	// loss, repeat and late are chances in a hundred for each message.
 	loss, repeat, late int
-	failure            error
-	sent               map[string]int
+	// hide is the chance that the holder of the lease hears nothing for a while when an election starts, and forget that
+	// a voter crashes and restarts right after it granted a vote: the moments at which leases and votes are at risk.
+	hide, forget int
+	deafUntil    map[string]time.Duration
+	failure      error
+	sent         map[string]int
 }
 
 func newCluster(seed uint64, voters int) *cluster {
@@ -62,6 +68,8 @@
 		rng:       rand.New(rand.NewPCG(seed, 7)),
 		members:   make(map[string]*member),
 		cut:       make(map[string]int),
+		links:     make(map[[2]string]bool),
+		deafUntil: make(map[string]time.Duration),
 		leaders:   make(map[uint64]string),
 		committed: make(map[uint64]string),
 		chains:    make(map[uint64]uint64),
@@ -136,6 +144,24 @@
 	m.lastTaken = s.Index
 }
 
+// wipe replaces a member's disk by an empty one. The member counts as lost until it has caught up, so all others must have
+// joined the group.
+func (c *cluster) wipe(m *member) {
+	if len(c.first) < 3 {
+		return
+	}
+	for _, other := range c.members {
+		if !other.joined {
+			return
+		}
+	}
+	c.stop(m)
+	m.fs = faulter.New()
+	m.joined = false
+	c.start(m.name)
+	c.sent["wipe"]++
+}
+
 func (c *cluster) stop(m *member) {
 	m.core, m.journal = nil, nil
 }
@@ -164,6 +190,13 @@
 			c.apply(m, entry)
 		}
 		m.core.Saved(c.clock(m), e)
+		if slices.ContainsFunc(e.Messages, isVote) && c.rng.IntN(100) < c.forget {
+			c.stop(m)
+			c.start(m.name)
+		}
+	}
+	if m.core != nil && !m.core.Recovering() && m.index > 0 {
+		m.joined = true
 	}
 	c.checkLeaders()
 }
@@ -187,7 +220,7 @@
 }
 
 func (c *cluster) apply(m *member, e journaler.Entry) {
-	text := fmt.Sprintf("%d/%d/%d/%s", e.Index, e.Term, e.Kind, e.Data)
+	text := fmt.Sprintf("%d/%d/%d/%x", e.Index, e.Term, e.Kind, sha256.Sum256(e.Data))
 	if old, ok := c.committed[e.Index]; ok && old != text {
 		c.fail("%s applies %s, but %s was committed", m.name, text, old)
 	}
@@ -224,46 +257,6 @@
 	m.core.Compact(s)
 }
 
-func (c *cluster) sendAll(messages []replicator.Message) {
-	for _, m := range messages {
-		c.sent[kind(m)]++
-		if c.rng.IntN(100) < c.loss || c.cut[m.From] != c.cut[m.To] {
-			continue
-		}
-		c.flights = append(c.flights, flight{
-			at: c.now + c.latency(),
-			m:  m,
-		})
-		if c.rng.IntN(100) < c.repeat {
-			c.flights = append(c.flights, flight{
-				at: c.now + c.latency(),
-				m:  m,
-			})
-		}
-	}
-}
-
-func kind(m replicator.Message) string {
-	switch {
-	case m.Vote != nil:
-		return "vote"
-	case m.Snapshot != nil:
-		return "snapshot"
-	case m.Append != nil && len(m.Append.Entries) > 0:
-		return "entries"
-	case m.Append != nil:
-		return "heartbeat"
-	}
-	return "answer"
-}
-
-func (c *cluster) latency() time.Duration {
-	if c.rng.IntN(100) < c.late {
-		return time.Duration(c.rng.IntN(2000)) * time.Millisecond
-	}
-	return time.Duration(500+c.rng.IntN(4000)) * time.Microsecond
-}
-
 // checkLeaders checks that a term has one leader, and that no two members hold a leader's lease at the same time.
 func (c *cluster) checkLeaders() {
 	holder := ""
@@ -301,27 +294,6 @@
 	}
 }
 
-func (c *cluster) deliver() {
-	slices.SortStableFunc(c.flights, func(a, b flight) int { return int(a.at - b.at) })
-	for len(c.flights) > 0 && c.flights[0].at <= c.now {
-		f := c.flights[0]
-		c.flights = c.flights[1:]
-		m, ok := c.members[f.m.To]
-		if !ok || m.core == nil || c.cut[f.m.From] != c.cut[f.m.To] {
-			continue
-		}
-		if c.now < m.pausedUntil {
-			// The kernel keeps what arrives for a paused process.
-			f.at = m.pausedUntil + time.Millisecond
-			c.flights = append(c.flights, f)
-			slices.SortStableFunc(c.flights, func(a, b flight) int { return int(a.at - b.at) })
-			continue
-		}
-		m.core.Step(c.clock(m), f.m)
-		c.carryOut(m)
-	}
-}
-
 // leader returns a member that leads, nil if there is none.
 func (c *cluster) leader() *member {
 	for _, name := range c.names() {
@@ -345,7 +317,8 @@
 		var commands [][]byte
 		for range n {
 			c.proposals++
-			commands = append(commands, fmt.Appendf(nil, "command %d", c.proposals))
+			b := fmt.Appendf(nil, "command %d", c.proposals)
+			commands = append(commands, append(b, make([]byte, c.rng.IntN(c.large+1))...))
 		}
 		_, _, _ = m.core.Propose(c.clock(m), commands)
 		c.carryOut(m)
@@ -355,8 +328,9 @@
 // heal removes all faults, starts all members, and checks that the cluster commits again and that all members of the
 // list in force reach the same state.
 func (c *cluster) heal() {
-	c.loss, c.repeat, c.late = 0, 0, 0
-	c.cut = make(map[string]int)
+	c.loss, c.repeat, c.late, c.hide, c.forget = 0, 0, 0, 0, 0
+	clear(c.cut)
+	clear(c.links)
 	for _, name := range c.names() {
 		m := c.members[name]
 		m.fs.CrashAfter(1 << 40)
@@ -373,7 +347,25 @@
 			return
 		}
 	}
-	c.fail("no agreement within 30 s after all faults ended")
+	c.fail("no agreement within 30 s after all faults ended: %s", c.status())
+}
+
+func (c *cluster) status() string {
+	s := ""
+	for _, name := range c.names() {
+		m := c.members[name]
+		if m.core == nil {
+			s += name + " is down; "
+			continue
+		}
+		voters := ""
+		for _, mem := range m.core.Members() {
+			voters += fmt.Sprintf(" %s/%t", mem.Name, !mem.Learner)
+		}
+		s += fmt.Sprintf("%s: term %d, leader %q, index %d, recovering %t, joined %t, members%s; ",
+			name, m.core.Term(), m.core.Leader(), m.index, m.core.Recovering(), m.joined, voters)
+	}
+	return s
 }
 
 func (c *cluster) settled(above uint64) bool {
