--- a/operator/alarm.go
+++ b/operator/alarm.go
@@ -34,10 +34,10 @@
 )
 
 // alarms returns what an operator should look at, sorted by name and message.
-func alarms(s *presenter.Status, violations int64) []presenter.Alarm {
+func alarms(s *presenter.Status) []presenter.Alarm {
 	a := alarmList{}
-	if violations > 0 {
-		a.add(alarmViolation, "%d violations of invariants since the hosts started", violations)
+	if s.Violations > 0 {
+		a.add(alarmViolation, "%d violations of invariants since the hosts started", s.Violations)
 	}
 	if s.Leader == "" {
 		a.add(alarmNoLeader, "host %s knows no control leader", s.AnsweredBy)
--- a/operator/status.go
+++ b/operator/status.go
@@ -74,6 +74,7 @@
 		Config:     *wireVersion(&st.Config, false),
 		Index:      st.Index,
 		Leader:     facts.Leader,
+		Violations: facts.Violations,
 		Hosts:      hostRows(st, &facts),
 		Targets:    targetRows(st, &facts),
 	}
@@ -96,7 +97,7 @@
 		return cmp.Or(strings.Compare(a.Kind, b.Kind), strings.Compare(a.DataCentre, b.DataCentre),
 			strings.Compare(a.Service, b.Service), strings.Compare(a.Holder, b.Holder))
 	})
-	s.Alarms = alarms(&s, facts.Violations)
+	s.Alarms = alarms(&s)
 	return &s
 }
 
--- a/presenter/status.go
+++ b/presenter/status.go
@@ -19,6 +19,8 @@
 	Services    []Service    `json:"services"`
 	Targets     []Target     `json:"targets"`
 	Leases      []Lease      `json:"leases"`
+	// Violations counts the violations of invariants that reachable hosts reported.
+	Violations int64 `json:"violations"`
 	// Alarms are what an operator should look at, sorted; docs/OPERATING.md says what to do for each.
 	Alarms []Alarm `json:"alarms"`
 }
@@ -42,8 +44,8 @@
 	Role      string `json:"role"`
 	Reachable bool   `json:"reachable"`
 	// Version is the configuration in force on the host and VersionAgeMs for how long.
-	Version      uint64 `json:"version"`
-	VersionAgeMs int64  `json:"versionAgeMs"`
+	Version      uint64 `json:"configVersion"`
+	VersionAgeMs int64  `json:"configAgeMs"`
 	// Index is the log index that the host has applied.
 	Index      uint64 `json:"index"`
 	HeardAgoMs int64  `json:"heardAgoMs"`
