--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -105,7 +105,10 @@
 	c := qt.New(t)
 	_, _, errOut := run(Commander{}, "-h")
 	checkGolden(c, "help", errOut)
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATING.md"))
+	c.Assert(err, qt.IsNil)
 	for _, sub := range (&Commander{Stderr: &bytes.Buffer{}}).root().Subcommands {
 		c.Assert(sub.LongHelp, qt.Contains, "EXAMPLE\n  bramleyline "+sub.Name)
+		c.Check(string(page), qt.Contains, "| `"+sub.Name+"` | `bramleyline "+sub.Name)
 	}
 }
--- a/settler/lines.go
+++ b/settler/lines.go
@@ -22,7 +22,7 @@
 	for _, s := range r.file.Sections {
 		names, ok := sections[s.Name]
 		if !ok {
-			r.findLine(s.Line, "unknown section [%s], known are [host], [listen], [control], [keys] and [tls]", s.Name)
+			r.findLine(s.Line, "unknown section [%s], known are [host], [listen], [control], [keys], [tls] and [network]", s.Name)
 			continue
 		}
 		for _, setting := range s.Settings {
