Ask a new owner again while it has not heard of its slot

Cause: a target that refused the epoch was asked again only after the Locator changed; a new owner that hears of its slot with its next heartbeat kept refusing until handoverWait had passed. A request of a shared service whose targets were all refused in a row used up its attempts at once. Change: such requests try again every 20 ms within handoverWait, without using up the retry budget.

--- a/router/exchange.go
+++ b/router/exchange.go
@@ -127,13 +127,14 @@
 			x.refuse(f)
 			return
 		}
-		if hint != nil || !x.waits(f) {
+		if hint != nil || !x.waits(f, way.table) {
 			continue
 		}
 		if !x.waitFor(ctx, current, way, f, handover) {
 			x.refuse(f)
 			return
 		}
+		x.failed = nil
 		if !way.reached(f) {
 			// The time bounds these attempts, not their number.
 			x.attempts = 0
@@ -141,25 +142,27 @@
 	}
 }
 
-// waits reports whether a fault goes away only with a newer Locator.
-func (x *exchange) waits(f *sender.Fault) bool {
+// waits reports whether a fault goes away only with time or a newer Locator. A request of a shared service goes to
+// another target at once, as long as there is one that it has not tried.
+func (x *exchange) waits(f *sender.Fault, t *locator.Table) bool {
 	switch f.Reason {
 	case "noOwner", "handover", "notReady":
 		return true
 	case sender.ReasonStaleRoute, sender.ReasonUnreachable, "staleEpoch", "draining":
-		return x.service.Keyed
+		return x.service.Keyed || t != nil && len(x.failed) >= len(t.Routes)
 	}
 	return false
 }
 
-// staleWait is how soon a request tries again after a host refused its route as stale: the table of that host may be
-// the older one.
+// staleWait is how soon a request tries again after a host refused its route as stale, because the table of that host
+// may be the older one; after a target refused the epoch, because a new owner may hear of its slot only with its next
+// heartbeat, 150 ms after the last; and after all targets of a shared service failed.
 const staleWait = 20 * time.Millisecond
 
 // waitFor waits until the Locator has another route than way for the request. It returns false after until.
 func (x *exchange) waitFor(ctx context.Context, current *locator.Locator, failed way, f *sender.Fault, until time.Time) bool {
 	soon := until
-	if f.Reason == sender.ReasonStaleRoute {
+	if f.Reason == sender.ReasonStaleRoute || f.Reason == "staleEpoch" || failed.route != nil && !x.service.Keyed {
 		if soon = time.Now().Add(staleWait); soon.After(until) {
 			soon = until
 		}
@@ -208,9 +211,10 @@
 	route *locator.Route
 }
 
-// reached reports whether the attempt that ended with f counts as one for a target.
+// reached reports whether the attempt that ended with f counts as one for a target. A hand-over that refuses many
+// requests for a moment must not use up the budget; the wait between their attempts bounds them.
 func (w way) reached(f *sender.Fault) bool {
-	return w.route != nil && f.Reason != sender.ReasonStaleRoute
+	return w.route != nil && f.Reason != sender.ReasonStaleRoute && f.Reason != "staleEpoch"
 }
 
 // route finds the way of the request in l.
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -254,6 +254,26 @@
 	}
 }
 
+// Guards against an error for the caller while a new owner has not heard of its slot yet.
+func TestNewOwnerThatRefusesTheEpochIsAskedAgain(t *testing.T) {
+	for host := range 2 {
+		c := qt.New(t)
+		refusals := 3
+		target := newRawTarget(t, func(c net.Conn, _ int, r *http.Request, body string) bool {
+			if refusals--; refusals < 0 {
+				return whole(c, r.Header.Get("Bramleyline-Request"), body)
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 409 Conflict\r\nBramleyline-Request: %s\r\nBramleyline-Outcome: notRun\r\n"+
+				"Bramleyline-Reason: staleEpoch\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Bramleyline-Request"))
+			return true
+		})
+		s := siteWith(t, target.addr, 10*time.Second)
+		s.cfg.Services[0].Ownership.HandoverWait = 10 * time.Second
+		c.Assert(s.call(host, "POST", "/tally", "5 kg").status, qt.Equals, 200)
+		c.Assert(target.count("POST 5 kg"), qt.Equals, 4)
+	}
+}
+
 // Guards against a refused connection that is answered as unknown, or a wait for it beyond HandoverWait.
 func TestUnreachableTargetIsNotRun(t *testing.T) {
 	c := qt.New(t)
