Use TLS on every listener of a host and between hosts

Cause: certifier read certificates, but no listener used them.

Change: rpc and peer listeners ask for a certificate of the authority; caller, announce and operator listeners offer TLS; hosts verify the announced address. The emulated target can announce itself over TLS.

--- a/emulator/heartbeat.go
+++ b/emulator/heartbeat.go
@@ -81,6 +81,7 @@
 	transport := &http.Transport{
 		DialContext:         l.e.opts.Dial,
 		MaxIdleConnsPerHost: 2,
+		TLSClientConfig:     l.e.opts.TLS,
 	}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{
@@ -168,7 +169,11 @@
 	interrupted, end := l.interruptible(ctx)
 	defer end()
 	asked := time.Now()
-	url := "http://" + host.String() + "/v1/heartbeat"
+	scheme := "http"
+	if l.e.opts.TLS != nil {
+		scheme = "https"
+	}
+	url := scheme + "://" + host.String() + "/v1/heartbeat"
 	req, err := http.NewRequestWithContext(interrupted, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "heartbeat")
--- a/emulator/options.go
+++ b/emulator/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"flag"
 	"net"
 	"net/netip"
@@ -27,6 +28,8 @@
 	Control netip.AddrPort
 	// Announce are the announce addresses of the hosts of the data centre, tried in turn.
 	Announce []netip.AddrPort
+	// TLS is used for heartbeats; nil means plain HTTP.
+	TLS *tls.Config
 	// Dial replaces the dialer of heartbeats, to put a network in between.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Heartbeat is the interval between heartbeats; zero means 150 ms.
--- a/router/forward.go
+++ b/router/forward.go
@@ -53,7 +53,7 @@
 	}
 	resp, f := x.router.sender.Send(ctx, &sender.Request{
 		Addr:        route.Peer,
-		TLS:         x.router.opts.PeerTLS,
+		TLS:         x.router.peerTLS(route.Peer.Addr()),
 		Method:      x.method,
 		URI:         x.uri,
 		Host:        x.host,
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,8 @@
 	Locator *locator.Current
 	// PeerKey is the system key with which hosts sign the requests that they forward.
 	PeerKey string
-	// PeerTLS is used for connections to other hosts' peer addresses; nil means plain TCP.
-	PeerTLS *tls.Config
+	// PeerTLS returns the configuration for a connection to another host's peer address; nil means plain TCP.
+	PeerTLS func(addr netip.Addr) *tls.Config
 	// Seed makes identities and choices repeatable in tests. Zero means random, which a host needs: two processes with
 	// the same seed would give the same identities.
 	Seed uint64
@@ -147,6 +148,14 @@
 	return nil
 }
 
+// peerTLS returns the TLS configuration for a connection to another host, nil for plain TCP.
+func (r *Router) peerTLS(addr netip.Addr) *tls.Config {
+	if r.opts.PeerTLS == nil {
+		return nil
+	}
+	return r.opts.PeerTLS(addr)
+}
+
 func (r *Router) identity() string {
 	return r.prefix + strconv.FormatUint(r.count.Add(1), 36)
 }
--- a/server/operator.go
+++ b/server/operator.go
@@ -15,6 +15,6 @@
 		Ready:    s.notReady,
 	}
 	if s.listeners.operator != nil {
-		s.operator.Start(s.listeners.operator, nil)
+		s.operator.Start(s.listeners.operator, s.certifier.Public())
 	}
 }
--- a/server/options.go
+++ b/server/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/netip"
@@ -73,3 +74,28 @@
 		Fields:          []any{"host", settings.Name},
 	}), nil
 }
+
+// dialHost connects to the rpc address of another host, with TLS if the settings name certificates. The certificate is
+// that of the announced address, whatever translation leads to it.
+func (s *Server) dialHost(ctx context.Context, network, addr string) (net.Conn, error) {
+	dial := s.dial
+	if dial == nil {
+		var d net.Dialer
+		dial = d.DialContext
+	}
+	conn, err := dial(ctx, network, addr)
+	if err != nil || s.certifier == nil {
+		return conn, err
+	}
+	announced, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "dial")
+	}
+	secure := tls.Client(conn, s.certifier.Client(announced.Addr()))
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "TLS with %s", addr)
+	}
+	return secure, nil
+}
--- a/server/parts.go
+++ b/server/parts.go
@@ -20,10 +20,11 @@
 	key := []byte(s.settings.Keys.System)
 	s.messenger = &messenger.Messenger{
 		Key:  key,
-		Dial: s.dial,
+		Dial: s.dialHost,
 	}
 	s.rpc = &messenger.Listener{
 		Key: key,
+		TLS: s.certifier.Server(),
 	}
 	s.proposer = &proposer.Proposer{
 		Messenger: s.messenger,
@@ -129,6 +130,7 @@
 		Locator:    s.current,
 		PeerKey:    s.settings.Keys.System,
 		Dial:       s.dial,
+		PeerTLS:    s.certifier.Client,
 		Sketch:     newSketch,
 	})
 	p.SetTraffic(s.router.Traffic())
@@ -141,12 +143,12 @@
 
 func (s *Server) startTraffic() {
 	if s.listeners.announce != nil {
-		s.announce = serveHTTP(s.listeners.announce, s.participant.Handler(), nil)
+		s.announce = serveHTTP(s.listeners.announce, s.participant.Handler(), s.certifier.Public())
 	}
 	if s.listeners.peer != nil {
-		s.peer = serveHTTP(s.listeners.peer, s.router.Peer(), nil)
+		s.peer = serveHTTP(s.listeners.peer, s.router.Peer(), s.certifier.Server())
 	}
 	if s.listeners.caller != nil {
-		s.caller = serveHTTP(s.listeners.caller, s.router, nil)
+		s.caller = serveHTTP(s.listeners.caller, s.router, s.certifier.Public())
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/certifier"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/follower"
@@ -44,6 +45,7 @@
 	logger      *log.Logger
 
 	listeners   listenerSet
+	certifier   *certifier.Certifier
 	notifier    *notifier.Notifier
 	messenger   *messenger.Messenger
 	rpc         *messenger.Listener
@@ -89,6 +91,9 @@
 		return nil, err
 	}
 	s.logger = logger
+	if s.certifier, err = certifier.New(settings.TLS); err != nil {
+		return nil, err
+	}
 	s.translate()
 	if err := s.listeners.open(settings.Listen); err != nil {
 		return nil, err
--- a/server/stop.go
+++ b/server/stop.go
@@ -13,6 +13,7 @@
 // It returns an error if requests were still in progress when ctx or the configured wait ended.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.router.Leave()
 	timing := s.timing()
 	wait(ctx, timing.BalancerWait)
 
