Tell operators whether a failed change may still be accepted

The control leader adds its own dispatchLease to the hold of every data centre, so an overlay with a longer one could give a slot two owners.

Change: the outcome noLeader is apart from unknown, and the command line names the worst case of all hosts that it asked. dispatchLease must be the same in all data centres and cannot be shortened while a host may be cut off.

--- a/checker/schema.go
+++ b/checker/schema.go
@@ -43,7 +43,7 @@
 		durationRule("heartbeat", func(t *timing) *time.Duration { return &t.Heartbeat },
 			10*time.Millisecond, 10*time.Second),
 		durationRule("dispatchLease", func(t *timing) *time.Duration { return &t.DispatchLease },
-			50*time.Millisecond, time.Minute),
+			50*time.Millisecond, time.Minute).shared(),
 		durationRule("authorityLease", func(t *timing) *time.Duration { return &t.AuthorityLease },
 			50*time.Millisecond, time.Minute).shared(),
 		durationRule("electionTimeout", func(t *timing) *time.Duration { return &t.ElectionTimeout },
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -9,10 +9,13 @@
 	"time"
 	"unicode"
 
+	"github.com/pkg/errors"
+
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/checker"
 	"bramleyline.example/bramleyline/merger"
 	"bramleyline.example/bramleyline/presenter"
+	"bramleyline.example/bramleyline/proposer"
 )
 
 // maxOperatorBytes bounds the name that an operator gives, which is kept with each version.
@@ -32,6 +35,7 @@
 	presenter.LostRace:   http.StatusConflict,
 	presenter.NeedsForce: http.StatusPreconditionRequired,
 	presenter.Refused:    http.StatusConflict,
+	presenter.NoLeader:   http.StatusServiceUnavailable,
 	presenter.Unknown:    http.StatusServiceUnavailable,
 }
 
@@ -104,7 +108,7 @@
 	})
 	switch {
 	case err != nil:
-		return unknown(err)
+		return failed(err)
 	case res.Refusal == "":
 		o.log("configuration accepted", "version", req.Expect+1, "digest", digest, "operator", req.Operator)
 		// The accepted one may be an earlier request of the same text, whose operator and time are the ones to tell.
@@ -172,12 +176,17 @@
 	}
 }
 
-// unknown answers a proposal without a result. It may still be accepted, so the operator sends the same request again.
-func unknown(err error) presenter.Answer {
+// failed answers a proposal without a result.
+func failed(err error) presenter.Answer {
+	if errors.Is(err, proposer.ErrNotApplied) {
+		return presenter.Answer{
+			Outcome: presenter.NoLeader,
+			Message: fmt.Sprintf("no control leader was reached, nothing was changed: %v", err),
+		}
+	}
 	return presenter.Answer{
 		Outcome: presenter.Unknown,
-		Message: fmt.Sprintf("no answer from the control leader: %v; the change may still be accepted, send the same "+
-			"command again", err),
+		Message: fmt.Sprintf("the control leader did not answer, the change may still be accepted: %v", err),
 	}
 }
 
--- a/operator/apply_test.go
+++ b/operator/apply_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -9,10 +10,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/presenter"
+	"bramleyline.example/bramleyline/proposer"
 )
 
 const configurations = "/v1/configurations"
@@ -158,10 +161,11 @@
 	}
 	shorter := f.change(1, "ada", "32")
 	shorter.Base = strings.Replace(shorter.Base, "cutOffHold = 1h", "cutOffHold = 2m", 1)
+	shorter.Base = strings.Replace(shorter.Base, "dispatchLease = 750ms", "dispatchLease = 600ms", 1)
 	shorter.Force = true
 	_, a := f.post(configurations, shorter)
 	c.Assert(a.Outcome, qt.Equals, presenter.Refused)
-	c.Assert(a.Message, qt.Matches, "cutOffHold of tally .*: bielsko-1, rzeszow-1")
+	c.Assert(a.Message, qt.Matches, "dispatchLease, cutOffHold of tally .*: bielsko-1, rzeszow-1")
 	longer := f.change(1, "ada", "32")
 	longer.Base = strings.Replace(longer.Base, "cutOffHold = 1h", "cutOffHold = 3h", 1)
 	_, a = f.post(configurations, longer)
@@ -174,3 +178,15 @@
 	_, a = f.post(configurations, shorter)
 	c.Assert(a.Outcome, qt.Equals, presenter.Applied)
 }
+
+// An operator must know whether a change may still be accepted; nothing is worse than a wrong "nothing was changed".
+func TestFailedProposals(t *testing.T) {
+	f := newFixture(t)
+	for err, want := range map[error]presenter.Outcome{
+		errors.Wrap(proposer.ErrNotApplied, "x"):   presenter.NoLeader,
+		errors.Wrap(proposer.ErrMaybeApplied, "x"): presenter.Unknown,
+		context.DeadlineExceeded:                   presenter.Unknown,
+	} {
+		f.c.Check(failed(err).Outcome, qt.Equals, want)
+	}
+}
--- a/operator/service.go
+++ b/operator/service.go
@@ -62,7 +62,7 @@
 	o.catchUp(ctx, res.Index)
 	switch {
 	case err != nil:
-		return unknown(err)
+		return failed(err)
 	// The command was proposed all the same, because this host may not yet know of a change in between.
 	case out == req.Out:
 		return already(req, before, res.Index)
--- a/presenter/change.go
+++ b/presenter/change.go
@@ -19,6 +19,8 @@
 	NeedsForce Outcome = "needsForce"
 	// Refused says that the change was refused for the reason in the message.
 	Refused Outcome = "refused"
+	// NoLeader says that no control leader was reached, so that nothing was changed.
+	NoLeader Outcome = "noLeader"
 	// Unknown says that no answer came in time; the same request can be sent again.
 	Unknown Outcome = "unknown"
 )
--- a/requester/failure.go
+++ b/requester/failure.go
@@ -13,19 +13,28 @@
 	"bramleyline.example/bramleyline/presenter"
 )
 
-// failedError names what each host answered. Its cause is ErrNoHost or ErrUnsettled.
+// failedError names what each host answered. Its cause is ErrNoHost, ErrNoLeader or ErrUnsettled: the one that leaves
+// the most open.
 type failedError struct {
 	cause error
 	hosts []string
 }
 
-func (e *failedError) add(host, what string, reached bool) {
+func (e *failedError) add(host, what string, cause error) {
 	e.hosts = append(e.hosts, host+": "+what)
-	if reached {
-		e.cause = ErrUnsettled
+	if cause == ErrUnsettled || e.cause == ErrNoHost {
+		e.cause = cause
 	}
 }
 
+// causeOf tells a host that did not get the request from one that did not answer it.
+func causeOf(err error) error {
+	if isDialError(err) {
+		return ErrNoHost
+	}
+	return ErrUnsettled
+}
+
 // Error starts with the cause, which is what an operator has to see first.
 func (e *failedError) Error() string {
 	return e.cause.Error() + ": " + strings.Join(e.hosts, "; ")
@@ -58,10 +67,14 @@
 	return err.Error()
 }
 
-func messageOf(code int, body []byte) string {
+// read returns what a host said that did not settle the request, and what that leaves open.
+func read(code int, body []byte) (string, error) {
 	var a presenter.Answer
-	if err := json.Unmarshal(body, &a); err == nil && a.Message != "" {
-		return a.Message
+	if err := json.Unmarshal(body, &a); err != nil || a.Message == "" {
+		return http.StatusText(code), ErrUnsettled
+	}
+	if a.Outcome == presenter.NoLeader {
+		return a.Message, ErrNoLeader
 	}
-	return http.StatusText(code)
+	return a.Message, ErrUnsettled
 }
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -28,6 +28,8 @@
 var (
 	// ErrNoHost reports that no host could be reached. The request did not run.
 	ErrNoHost = errors.New("no host could be reached")
+	// ErrNoLeader reports that hosts were reached but no control leader. Nothing was changed.
+	ErrNoLeader = errors.New("no host could reach the control leader, nothing was changed")
 	// ErrUnsettled reports that hosts were reached but none told the outcome. A change may have been accepted.
 	ErrUnsettled = errors.New("no host could tell the outcome, send the same command again")
 )
@@ -89,9 +91,10 @@
 		case ctx.Err() != nil:
 			return errors.Wrap(ctx.Err(), "stopped while asking hosts")
 		case err != nil:
-			failure.add(host, describe(err), !isDialError(err))
+			failure.add(host, describe(err), causeOf(err))
 		case code == http.StatusTooManyRequests || code >= http.StatusInternalServerError:
-			failure.add(host, messageOf(code, answer), true)
+			message, cause := read(code, answer)
+			failure.add(host, message, cause)
 		default:
 			return use(code, answer)
 		}
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -57,3 +57,27 @@
 	_, err := r.Post(t.Context(), "/", struct{}{})
 	c.Assert(err, qt.ErrorMatches, "host answered with HTTP status 307")
 }
+
+// What is left open decides whether the operator sends the change again, so the worst case of all hosts counts.
+func TestFailureNamesWhatIsLeftOpen(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		causes []error
+		want   error
+	}{
+		{causes: []error{ErrNoHost, ErrNoHost}, want: ErrNoHost},
+		{causes: []error{ErrNoHost, ErrNoLeader, ErrNoHost}, want: ErrNoLeader},
+		{causes: []error{ErrUnsettled, ErrNoLeader, ErrNoHost}, want: ErrUnsettled},
+		{causes: []error{ErrNoLeader, ErrUnsettled}, want: ErrUnsettled},
+	} {
+		failure := failedError{cause: ErrNoHost}
+		for _, cause := range test.causes {
+			failure.add("host", "what", cause)
+		}
+		c.Check(errors.Is(&failure, test.want), qt.IsTrue, qt.Commentf("%v", test.causes))
+	}
+	_, cause := read(503, []byte(`{"outcome": "noLeader", "message": "none"}`))
+	c.Check(cause, qt.Equals, ErrNoLeader)
+	_, cause = read(503, []byte("not JSON"))
+	c.Check(cause, qt.Equals, ErrUnsettled)
+}
