Let loads decide after a join, skip idle passes, and lock the sketch

Cause: placement by number moved back what rebalancing had moved (found by the test of the budget: 10 moves where 5 are allowed). A pass over 131,072 slots cost about 20 ms at each tick. Dispatchers share one sketch, which ended a host process with concurrent map writes (seen in TestProofControlHostIsolated). Change: shares are evened out by number only while a target holds nothing; the authority looks at all slots again only when something changed, at least each second; Sketcher has a mutex.

--- a/granter/membership.go
+++ b/granter/membership.go
@@ -48,20 +48,12 @@
 
 // checkTargets forgets targets that were lost and hold nothing any more, and follows what operators took out.
 func (g *Granter) checkTargets() {
-	held := make(map[*target]int)
-	for _, tab := range g.tables {
-		for i := range tab.slots {
-			if o := tab.slots[i].owner; o != nil {
-				held[o]++
-			}
-		}
-	}
 	for _, t := range g.orderedTargets() {
 		if _, out := g.state.TargetsOut[t.name]; out != t.outOfService {
 			t.outOfService = out
 			t.version = g.next()
 		}
-		if (t.lost || g.superseded(t)) && !t.gone && held[t] == 0 {
+		if (t.lost || g.superseded(t)) && !t.gone && !g.holds(t) {
 			t.gone = true
 			t.version = g.next()
 			if t.host != "" {
@@ -76,6 +68,12 @@
 	}
 }
 
+// holds reports whether a slot is held by t.
+func (g *Granter) holds(t *target) bool {
+	tab, ok := g.tables[t.service]
+	return ok && slices.ContainsFunc(tab.slots, func(s slot) bool { return s.owner == t })
+}
+
 // assignHosts gives each target a dispatching host, and evens the hosts out when they differ by two or more.
 func (g *Granter) assignHosts() {
 	count := make(map[string]int)
--- a/granter/move.go
+++ b/granter/move.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/fencer"
@@ -19,6 +20,9 @@
 func (g *Granter) moveSlots(tab *table) {
 	g.readDelegations(tab)
 	g.updateService(tab)
+	if !g.due(tab) {
+		return
+	}
 	targets := g.targetsOf(tab)
 	out := g.state.DataCentres[g.DataCentre].Out
 	number := make(map[*target]int32, len(targets))
@@ -33,8 +37,10 @@
 		}
 	}
 	owners, slots := g.owners(tab, number, out)
+	joining := g.joining(targets, owners)
 	for _, m := range p.Place(owners) {
-		if g.inService(targets[m.To]) {
+		forced := m.From == placer.None || p.Weights[m.From] == 0
+		if g.inService(targets[m.To]) && (forced || joining) {
 			g.plan(tab, slots[m.Slot], targets[m.To])
 		}
 	}
@@ -44,6 +50,54 @@
 	}
 	g.assign(tab)
 	g.activatePrepared(tab)
+	tab.passed = pass{
+		version: g.version,
+		at:      g.now,
+		source:  tab.source,
+		out:     out,
+		idle:    tab.settled(),
+		lease:   g.lease.Valid(g.now),
+	}
+}
+
+// passInterval is the longest time between two looks at all slots of a service; balance and the silence of targets
+// need no closer one.
+const passInterval = time.Second
+
+// pass is what the last look at all slots of a service was based on.
+type pass struct {
+	version uint64
+	at      time.Time
+	source  *applier.SlotTable
+	out     bool
+	idle    bool
+	lease   bool
+}
+
+// due reports whether the slots have to be looked at again. A look at 131,072 slots costs 20 ms, so it is left out
+// while nothing changes.
+func (g *Granter) due(tab *table) bool {
+	last := tab.passed
+	return !last.idle || last.version != g.version || last.source != tab.source ||
+		last.out != g.state.DataCentres[g.DataCentre].Out || last.lease != g.lease.Valid(g.now) ||
+		g.now.Sub(last.at) >= passInterval
+}
+
+// joining reports whether a target in service holds no slot. Shares are evened out by number only then: afterwards the
+// loads decide, and a target with a hot slot holds fewer.
+func (g *Granter) joining(targets []*target, owners []int32) bool {
+	held := make([]bool, len(targets))
+	for _, o := range owners {
+		if o != placer.None {
+			held[o] = true
+		}
+	}
+	for i, t := range targets {
+		if !held[i] && g.inService(t) {
+			return true
+		}
+	}
+	return false
 }
 
 // updateService takes the newest settings of the service; the number of slots never changes.
--- a/granter/table.go
+++ b/granter/table.go
@@ -58,9 +58,13 @@
 	yield       map[keyer.Slot]struct{}
 	rebalancing bool
 	moved       []time.Time
+	passed      pass
 }
 
 func (t *table) setYield(slots []keyer.Slot) {
+	if len(slots) > 0 || len(t.yield) > 0 {
+		t.passed = pass{}
+	}
 	t.yield = make(map[keyer.Slot]struct{}, len(slots))
 	for _, s := range slots {
 		t.yield[s] = struct{}{}
--- a/sketcher/sketcher.go
+++ b/sketcher/sketcher.go
@@ -5,11 +5,14 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"sync"
 )
 
 // Sketcher counts keys by the space-saving algorithm: a key that has no counter takes over the smallest one. A count is
-// at most the total divided by the number of counters too high. Make it with New. It is not safe for concurrent use.
+// at most the total divided by the number of counters too high. Make it with New. It is safe for concurrent use, since all
+// dispatchers of a host share one.
 type Sketcher struct {
+	mu       sync.Mutex
 	size     int
 	counters map[string]*counter
 	order    byCount
@@ -38,6 +41,8 @@
 
 // Add counts n requests of key.
 func (s *Sketcher) Add(key string, n float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if c, ok := s.counters[key]; ok {
 		c.Count += n
 		heap.Fix(&s.order, c.at)
@@ -66,6 +71,8 @@
 // Decay multiplies all counts by factor, so that a key that is no longer hot gives way within a few decays. Counters
 // whose guaranteed count fell below one half are freed.
 func (s *Sketcher) Decay(factor float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	kept := s.order[:0]
 	for _, c := range s.order {
 		c.Count *= factor
@@ -86,6 +93,8 @@
 
 // Top returns at most n keys whose guaranteed count reaches least, the hottest first.
 func (s *Sketcher) Top(n int, least float64) []Hot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var top []Hot
 	for _, c := range s.order {
 		if c.Count-c.Error >= least {
