Show when callers are not served, and use fewer keys

Cause: with 2,000 keys a key is asked for every 2 s, so that the time without service of a key was mostly the gap between its requests; and a total does not show how long an outage lasts.

Change: 400 keys; the table has the requests not served in each 250 ms, the reasons that callers were told, and the number of keys that were surely without service for more than the 2 s of the design.

--- a/auditor/auditor_test.go
+++ b/auditor/auditor_test.go
@@ -213,5 +213,11 @@
 	c.Assert(n.Unavailable, qt.Equals, 260*time.Millisecond)
 	c.Assert(n.WorstUnavailable, qt.Equals, 250*time.Millisecond)
 	c.Assert(n.KeysUnavailable, qt.Equals, 1)
+	c.Assert(n.KeysLate, qt.Equals, 0)
+	late := (Auditor{}).Audit(Evidence{
+		Records: []loader.Record{record(0, notRun), record(1991, notRun)},
+		Keyed:   map[string]bool{"tally": true},
+	}).Numbers
+	c.Assert(late.KeysLate, qt.Equals, 1)
 	c.Assert(n.Outcomes["tally"].Served, qt.Equals, 2)
 }
--- a/auditor/count.go
+++ b/auditor/count.go
@@ -8,6 +8,9 @@
 	"bramleyline.example/bramleyline/loader"
 )
 
+// recoveryBound is the time in which a key is served again after a loss, from docs/design.md.
+const recoveryBound = 2 * time.Second
+
 func count(e Evidence, byAttempt map[attemptID][]emulator.Run) Numbers {
 	n := Numbers{
 		Imbalance: imbalance(e),
@@ -102,8 +105,8 @@
 	}
 	for _, records := range byKey {
 		slices.SortFunc(records, func(a, b loader.Record) int { return a.Intended.Compare(b.Intended) })
-		var since time.Time
-		failed := false
+		var since, last time.Time
+		failed, late := false, false
 		end := func(at time.Time) {
 			d := at.Sub(since)
 			n.Unavailable += d
@@ -112,18 +115,25 @@
 		}
 		for _, r := range records {
 			switch {
-			case !r.Served() && since.IsZero():
-				since = r.Intended
+			case !r.Served():
+				if since.IsZero() {
+					since = r.Intended
+				}
+				last = r.Ended
 				failed = true
+				late = late || last.Sub(since) > recoveryBound
 			case r.Served() && !since.IsZero():
 				end(r.Intended)
 			}
 		}
 		if !since.IsZero() {
-			end(records[len(records)-1].Ended)
+			end(last)
 		}
 		if failed {
 			n.KeysUnavailable++
 		}
+		if late {
+			n.KeysLate++
+		}
 	}
 }
--- a/auditor/evidence.go
+++ b/auditor/evidence.go
@@ -63,6 +63,9 @@
 	Unavailable      time.Duration
 	WorstUnavailable time.Duration
 	KeysUnavailable  int
+	// KeysLate counts the keys that were surely without service for more than 2 s: from a request that was not served to
+	// the end of another one, with none served in between.
+	KeysLate int
 	// Outcomes has the callers' summary for each service, and under the empty name for all.
 	Outcomes map[string]loader.Summary
 	// CallerRepeats counts non-idempotent requests that ran more than once because their caller sent them again after
--- a/experimenter/files.go
+++ b/experimenter/files.go
@@ -35,6 +35,8 @@
 	TotalMs float64 `json:"totalMs"`
 	WorstMs float64 `json:"worstMs"`
 	Keys    int     `json:"keys"`
+	// Late counts keys without service for more than 2 s.
+	Late int `json:"late"`
 }
 
 type outcomeWire struct {
@@ -91,6 +93,7 @@
 			TotalMs: toMillis(n.Unavailable),
 			WorstMs: toMillis(n.WorstUnavailable),
 			Keys:    n.KeysUnavailable,
+			Late:    n.KeysLate,
 		},
 		Outcomes: make(map[string]outcomeWire),
 		Refused:  n.Refused,
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -36,7 +36,7 @@
 	return tuning{
 		rate:        1200,
 		serviceTime: 8 * time.Millisecond,
-		keys:        2000,
+		keys:        400,
 		loadAge:     500 * time.Millisecond,
 	}
 }
--- a/experimenter/table.go
+++ b/experimenter/table.go
@@ -45,6 +45,7 @@
 		row{"unavailable, all keys", millis(n.Unavailable)},
 		row{"unavailable, worst key", millis(n.WorstUnavailable)},
 		row{"keys unavailable", fmt.Sprint(n.KeysUnavailable)},
+		row{"keys over 2 s", fmt.Sprint(n.KeysLate)},
 		row{"runs crashed", fmt.Sprint(n.Crashes)},
 	)
 	for _, reason := range []string{"overloaded", "staleEpoch", "draining", "cold"} {
@@ -95,6 +96,9 @@
 		fmt.Fprintln(tw, line)
 	}
 	_ = tw.Flush()
+	for _, r := range results {
+		printTimeline(w, r)
+	}
 	for _, r := range results {
 		shown := make(map[string]int)
 		for _, f := range r.Report.Findings {
@@ -104,3 +108,26 @@
 		}
 	}
 }
+
+// printTimeline prints the requests not served in each window by their intended start, and the reasons that callers were
+// told.
+func printTimeline(w io.Writer, r Result) {
+	fmt.Fprintf(w, "\n%s: not served in each %s:", r.Policy, window)
+	reasons := make(map[string]int)
+	for _, records := range windows(r) {
+		n := 0
+		for _, rec := range records {
+			if rec.Served() {
+				continue
+			}
+			n++
+			last := rec.Last()
+			reasons[strings.TrimSpace(rec.Service+" "+last.Told()+" "+last.Reason)]++
+		}
+		fmt.Fprintf(w, " %d", n)
+	}
+	fmt.Fprintln(w)
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		fmt.Fprintf(w, "  %6d %s\n", reasons[reason], reason)
+	}
+}
