--- a/experimenter/baseline.go
+++ b/experimenter/baseline.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"strconv"
 	"sync"
@@ -199,9 +197,3 @@
 func (b *baseline) Violations() int64 {
 	return 0
 }
-
-// listenAgain listens on addr; port zero picks a free one.
-func listenAgain(addr netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	return ln, errors.Wrap(err, "baseline host")
-}
--- a/experimenter/baselinehost.go
+++ b/experimenter/baselinehost.go
@@ -76,15 +76,12 @@
 // reserve picks the addresses, which stay the same when the host starts again.
 func (h *baselineHost) reserve() error {
 	for _, addr := range []*netip.AddrPort{&h.entry, &h.announce} {
-		ln, err := listenAgain(netip.MustParseAddrPort("127.0.0.1:0"))
+		a, err := reserve()
 		if err != nil {
 			return err
 		}
-		*addr = ln.Addr().(*net.TCPAddr).AddrPort()
-		h.b.setup.Network.Name(*addr, h.name)
-		if err := ln.Close(); err != nil {
-			return errors.Wrap(err, "baseline host")
-		}
+		*addr = a
+		h.b.setup.Network.Name(a, h.name)
 	}
 	return nil
 }
@@ -101,6 +98,8 @@
 		Transport: &http.Transport{
 			DialContext:         h.b.setup.Network.Dialer(h.name),
 			MaxIdleConnsPerHost: 100,
+			// Without a bound a stall of the machine opens connections until the process has no descriptor left.
+			MaxConnsPerHost: 64,
 		},
 		Timeout: baselineTimeout,
 	}
@@ -112,9 +111,9 @@
 		h.out[r.URL.Query().Get("name")] = r.URL.Query().Get("out") == "true"
 	})
 	for addr, handler := range map[netip.AddrPort]http.Handler{h.entry: h, h.announce: control} {
-		ln, err := listenAgain(addr)
+		ln, err := net.Listen("tcp", addr.String())
 		if err != nil {
-			return err
+			return errors.Wrapf(err, "baseline host %s", h.name)
 		}
 		srv := &http.Server{
 			Handler:           handler,
--- a/experimenter/servers.go
+++ b/experimenter/servers.go
@@ -28,7 +28,7 @@
 	benchOperator    = "bench"
 )
 
-// relistenLimit bounds the attempts to listen on a host's old addresses; an outgoing connection may have taken a port.
+// relistenLimit bounds the attempts to listen on a host's old addresses, which a host that is still ending may hold.
 const relistenLimit = 5 * time.Second
 
 // servers is the system under test: real hosts in this process.
@@ -68,22 +68,18 @@
 			},
 		},
 	}
-	free := netip.MustParseAddrPort("127.0.0.1:0")
 	for i, dc := range setup.DataCentres {
 		for n := range setup.HostsEach {
 			h := &serverHost{
 				name:    dc + "/" + strconv.Itoa(n+1),
 				dc:      dc,
 				control: n == 0 || i == 0,
-				listen: settler.Listen{
-					Caller:   free,
-					Peer:     free,
-					RPC:      free,
-					Announce: free,
-					Operator: free,
-				},
 			}
-			if err := c.open(h); err != nil {
+			err := h.reserve()
+			if err == nil {
+				err = c.open(h)
+			}
+			if err != nil {
 				_ = c.Close()
 				return nil, err
 			}
@@ -101,6 +97,19 @@
 	return c, nil
 }
 
+// reserve picks the addresses, which stay the same when the host starts again.
+func (h *serverHost) reserve() error {
+	l := &h.listen
+	for _, addr := range []*netip.AddrPort{&l.Caller, &l.Peer, &l.RPC, &l.Announce, &l.Operator} {
+		a, err := reserve()
+		if err != nil {
+			return err
+		}
+		*addr = a
+	}
+	return nil
+}
+
 // settingsName is the name of a host in its settings.
 func settingsName(host string) string {
 	return strings.ReplaceAll(host, "/", "-")
--- a/experimenter/trial.go
+++ b/experimenter/trial.go
@@ -140,7 +140,12 @@
 	if n%2 == 0 {
 		slices.Reverse(announce)
 	}
+	listen, err := reserve()
+	if err != nil {
+		return err
+	}
 	e := emulator.New(emulator.Options{
+		Listen:      listen,
 		Name:        dc + "-" + short,
 		Service:     s.Name,
 		DataCentre:  dc,
@@ -207,13 +212,15 @@
 func (t *trial) loadOptions(rate float64, d time.Duration) loader.Options {
 	hosts := make(map[netip.AddrPort]string)
 	o := loader.Options{
-		Rate:       rate,
-		Duration:   d,
-		Seed:       t.opts.Seed,
-		Timeout:    6 * time.Second,
-		Resends:    t.tuning.resends,
-		ResendLost: t.tuning.resendLost,
-		Dial:       t.network.Dialer(callers),
+		Rate:     rate,
+		Duration: d,
+		Seed:     t.opts.Seed,
+		Timeout:  6 * time.Second,
+		// A connection through the network takes four descriptors in this process.
+		MaxInFlight: 1500,
+		Resends:     t.tuning.resends,
+		ResendLost:  t.tuning.resendLost,
+		Dial:        t.network.Dialer(callers),
 		Ready: func(ctx context.Context, entry netip.AddrPort) bool {
 			time.Sleep(probeCost)
 			return t.cluster.Ready(ctx, hosts[entry])
