Model the balancer's health check in the process tests

Cause: the tests sent requests to a host after its readiness was off, which the platform's balancer does not do.

Change: the load generator asks each host's /v1/ready every 50 ms.

--- a/process_test.go
+++ b/process_test.go
@@ -393,13 +393,16 @@
 		entries = append(entries, h.caller)
 	}
 	l := loader.New(loader.Options{
-		Entries:    entries,
-		Rate:       250,
-		Duration:   length,
-		Count:      20000,
-		Seed:       7,
-		Resends:    3,
-		ResendLost: true,
+		Entries: entries,
+		// The platform's balancer sends nothing to a host whose readiness is off.
+		Ready:         d.ready,
+		ReadyInterval: 50 * time.Millisecond,
+		Rate:          250,
+		Duration:      length,
+		Count:         20000,
+		Seed:          7,
+		Resends:       3,
+		ResendLost:    true,
 		Mix: []loader.Traffic{
 			{
 				Service:    "tally",
@@ -421,6 +424,27 @@
 	return l.Records()
 }
 
+// ready asks the host of a caller address for its readiness, as the platform's balancer does. A host that does not
+// answer stays in use: the balancer finds out only by its callers' requests.
+func (d *deployment) ready(ctx context.Context, entry netip.AddrPort) bool {
+	for _, h := range d.hosts {
+		if h.caller != entry {
+			continue
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operator.String()+"/v1/ready", nil)
+		if err != nil {
+			return false
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return true
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}
+	return true
+}
+
 // patience bounds a wait for something that has to happen; it is far beyond every bound of the design, so that a busy
 // machine does not fail a test.
 const patience = 30 * time.Second
--- a/proof_test.go
+++ b/proof_test.go
@@ -234,6 +234,7 @@
 	for _, r := range records {
 		for _, a := range r.Attempts {
 			if a.Told() == "lost" && !a.Refused {
+				d.c.Logf("lost: %+v", a)
 				cut++
 			}
 		}
