--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/keyer"
@@ -77,7 +79,10 @@
 			l.mu.Unlock()
 		}
 	}
-	return sender.Refused(sender.ReasonOverloaded, "deadline passed or caller left while the request was waiting")
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return sender.Refused(sender.ReasonCancelled, "caller left while the request was waiting")
+	}
+	return sender.Refused(sender.ReasonOverloaded, "deadline passed while the request was waiting")
 }
 
 func (l *lane) took(slot keyer.Slot, err error) *sender.Fault {
--- a/dispatcher/traffic.go
+++ b/dispatcher/traffic.go
@@ -9,7 +9,8 @@
 
 var _ reporter.Traffic = (*Dispatcher)(nil)
 
-// Loads returns what was sent since the last call, and forgets idle lanes of targets that the table no longer has.
+// Loads returns what was sent since the last call. It also forgets idle lanes of targets that the table no longer has,
+// and old connections, as the tracker calls it with each heartbeat.
 func (d *Dispatcher) Loads() []reporter.LoadMsg {
 	lanes := *d.lanes.Load()
 	loads := make([]reporter.LoadMsg, 0, len(lanes))
@@ -32,6 +33,7 @@
 		loads = append(loads, m)
 	}
 	d.forget(gone)
+	d.opts.Sender.Trim(time.Now())
 	return loads
 }
 
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -87,6 +87,8 @@
 	if spare != nil {
 		_ = spare.Close()
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	c, err := dial(ctx, "tcp", p.addr.String())
 	if err != nil {
 		return nil, err
@@ -95,8 +97,6 @@
 		return newConn(c, c, p), nil
 	}
 	secure := tls.Client(c, config)
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = c.Close()
 		return nil, err
@@ -117,10 +117,7 @@
 			p.idle = append(p.idle, c)
 		}
 	}
-	for len(p.idle) > 0 && now.Sub(p.idle[0].idle) > idleTime {
-		old = append(old, p.idle[0])
-		p.idle = p.idle[1:]
-	}
+	old = append(old, p.expire(now)...)
 	if len(p.wait) > 0 && p.used <= p.limit {
 		ch := p.wait[0]
 		p.wait = p.wait[1:]
@@ -134,6 +131,28 @@
 	}
 }
 
+// expire removes and returns the connections that were idle for too long. The caller holds the lock.
+func (p *pool) expire(now time.Time) (old []*conn) {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idle) > idleTime {
+		old = append(old, p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	return old
+}
+
+// trim closes the connections that were idle for too long. If none is left the pool ends, and trim returns true.
+func (p *pool) trim(now time.Time) bool {
+	p.mu.Lock()
+	old := p.expire(now)
+	p.ended = p.ended || p.used == 0 && len(p.idle) == 0 && len(p.wait) == 0
+	ended := p.ended
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+	return ended
+}
+
 // close closes the idle connections; those in use are closed when they are released.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -63,10 +63,7 @@
 // New returns a Sender without connections. A nil dial means a plain net.Dialer.
 func New(dial DialFunc) *Sender {
 	if dial == nil {
-		d := net.Dialer{
-			Timeout: dialTimeout,
-		}
-		dial = d.DialContext
+		dial = (&net.Dialer{}).DialContext
 	}
 	return &Sender{
 		dial:   dial,
@@ -87,20 +84,14 @@
 // Send makes one attempt and returns the answer up to its header, or a *Fault. The context should carry the deadline
 // too; it bounds the wait for a connection, and its cancellation closes the connection.
 func (s *Sender) Send(ctx context.Context, r *Request) (*Response, *Fault) {
-	select {
-	case <-s.closed:
-		return nil, NewFault(ReasonUnreachable, http.StatusServiceUnavailable, ErrClosed)
-	default:
-	}
-	p := s.pool(r.Addr)
-	c, err := p.acquire(ctx, r.Connections)
+	p, c, err := s.acquire(ctx, r)
 	if err != nil {
-		return nil, NewFault(ReasonOverloaded, http.StatusServiceUnavailable, errors.Wrap(err, "no free connection"))
+		return nil, unsent(ctx, ReasonOverloaded, errors.Wrap(err, "no free connection"))
 	}
 	if c == nil {
 		if c, err = p.dial(ctx, s.dial, r.TLS); err != nil {
 			p.release(nil)
-			return nil, NewFault(ReasonUnreachable, http.StatusServiceUnavailable, err)
+			return nil, unsent(ctx, ReasonUnreachable, err)
 		}
 	}
 	a := attempt{
@@ -111,6 +102,34 @@
 	return a.run()
 }
 
+// acquire takes a place in the pool of the address. A pool that Trim removes at the same moment is replaced.
+func (s *Sender) acquire(ctx context.Context, r *Request) (*pool, *conn, error) {
+	for {
+		select {
+		case <-s.closed:
+			return nil, nil, ErrClosed
+		default:
+		}
+		p := s.pool(r.Addr)
+		c, err := p.acquire(ctx, r.Connections)
+		if err == nil || !errors.Is(err, ErrClosed) {
+			return p, c, err
+		}
+		s.pools.CompareAndDelete(r.Addr, p)
+	}
+}
+
+// unsent describes why nothing was written.
+func unsent(ctx context.Context, reason string, err error) *Fault {
+	switch {
+	case errors.Is(err, ErrClosed):
+		reason = ReasonUnreachable
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = ReasonCancelled
+	}
+	return NewFault(reason, http.StatusServiceUnavailable, err)
+}
+
 // Close closes idle connections and refuses further attempts. Attempts in progress go on.
 func (s *Sender) Close() {
 	s.once.Do(func() {
@@ -122,11 +141,15 @@
 	})
 }
 
-// Forget closes the idle connections to an address to which nothing is sent any more.
-func (s *Sender) Forget(addr netip.AddrPort) {
-	if p, ok := s.pools.LoadAndDelete(addr); ok {
-		p.(*pool).close()
-	}
+// Trim closes connections that were idle for long at now, and forgets addresses without connections. A target that is
+// gone would otherwise leave its idle connections open for ever.
+func (s *Sender) Trim(now time.Time) {
+	s.pools.Range(func(addr, p any) bool {
+		if p.(*pool).trim(now) {
+			s.pools.CompareAndDelete(addr, p)
+		}
+		return true
+	})
 }
 
 func resetLimit(c *conn) {
