--- a/granter/table.go
+++ b/granter/table.go
@@ -58,9 +58,13 @@
 	yield       map[keyer.Slot]struct{}
 	rebalancing bool
 	moved       []time.Time
+	passed      pass
 }
 
 func (t *table) setYield(slots []keyer.Slot) {
+	if len(slots) > 0 || len(t.yield) > 0 {
+		t.passed = pass{}
+	}
 	t.yield = make(map[keyer.Slot]struct{}, len(slots))
 	for _, s := range slots {
 		t.yield[s] = struct{}{}
@@ -141,7 +145,7 @@
 					version: g.bump(s.version),
 				}
 			}
-		case s.phase == elsewhere || s.phase == yielded && e.DelegatedAt > s.delegatedAt:
+		case s.phase == elsewhere || s.phase == yielded && e.Epoch >= s.epoch && !given(e):
 			*s = slot{
 				phase:       free,
 				name:        e.Target,
@@ -152,6 +156,12 @@
 			if given(e) {
 				s.phase = yielded
 			}
+		default:
+			// A delegation that was renewed meanwhile raises the least epoch that the log accepts.
+			s.delegatedAt = max(s.delegatedAt, e.DelegatedAt)
+			if s.phase == free && given(e) {
+				s.phase = yielded
+			}
 		}
 	}
 }
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +39,8 @@
 	calls  sync.WaitGroup
 	done   chan struct{}
 
+	status atomic.Pointer[Status]
+
 	// The fields below belong to the loop.
 	leadingSince  time.Time
 	proposing     bool
@@ -52,6 +56,14 @@
 	connected     []string
 	pledge        pledge
 	config        *configurer.Config
+	statusAt      time.Time
+	// wake makes the loop tick at once. news is closed when the table of this host changes.
+	wake          chan struct{}
+	news          chan struct{}
+	newsVersion   uint64
+	spreadVersion uint64
+	// telling has the hosts that are being told of a new table.
+	telling map[string]bool
 }
 
 // New returns a Participant that does nothing until Start.
@@ -72,6 +84,9 @@
 		},
 		inbox:       make(chan func(now time.Time), 256),
 		done:        make(chan struct{}),
+		wake:        make(chan struct{}, 1),
+		news:        make(chan struct{}),
+		telling:     make(map[string]bool),
 		directories: make(map[string]delegator.DirectoryMsg),
 	}
 	p.granter = &granter.Granter{
@@ -114,6 +129,7 @@
 
 // Start runs the loop until Close.
 func (p *Participant) Start() {
+	statuses.Set(p.options.Host.Name, expvar.Func(func() any { return p.Status() }))
 	go p.run()
 }
 
@@ -144,6 +160,8 @@
 		case <-changed:
 			changed = p.options.Source.Changed()
 			p.tick(time.Now())
+		case <-p.wake:
+			p.tick(time.Now())
 		case <-ticker.C:
 			p.tick(time.Now())
 		}
@@ -179,14 +197,6 @@
 	}
 }
 
-func (p *Participant) heartbeat(ctx context.Context, m tracker.HeartbeatMsg) (tracker.HeartbeatReply, error) {
-	var reply tracker.HeartbeatReply
-	err := p.ask(ctx, func(now time.Time) {
-		reply = p.beatOfTarget(now, m)
-	})
-	return reply, err
-}
-
 func (p *Participant) beatOfTarget(now time.Time, m tracker.HeartbeatMsg) (reply tracker.HeartbeatReply) {
 	for _, e := range p.tracker.Update(now, m) {
 		if r, ok := e.(tracker.HeartbeatReply); ok {
@@ -221,6 +231,9 @@
 		})
 	}
 	p.report(now, st)
+	p.spread()
+	p.announceNews()
+	p.publish(now)
 }
 
 // lead runs the delegator while this host is the control leader.
