Share one status between requests and bound connections by a test

Cause: a status asks every host and takes 30 ms of one core for 6,500 hosts and 131,072 slots (BenchmarkStatus), and each page and each waiting command asks for it.

Change: a status is given again for 200 ms unless the state has changed. Tests for the limit of connections and for -authority.

Conclusion: a change still shows at once on the host that took it.

--- a/commander/remote_test.go
+++ b/commander/remote_test.go
@@ -2,6 +2,15 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"log"
+	"math/big"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -50,6 +59,7 @@
 	flags   []string
 	files   []string
 	folders []string
+	handler http.Handler
 }
 
 func newHost(t *testing.T) *hostFixture {
@@ -74,7 +84,8 @@
 		Facts: func(context.Context) operator.Facts { return f.facts },
 		Now:   func() time.Time { return time.Unix(2000, 0) },
 	}
-	live := httptest.NewServer(o.Handler())
+	f.handler = o.Handler()
+	live := httptest.NewServer(f.handler)
 	c.Cleanup(live.Close)
 	dead := httptest.NewServer(nil)
 	dead.Close()
@@ -304,3 +315,32 @@
 	c.Setenv("USER", "ada")
 	c.Assert(userName(), qt.Equals, "ada")
 }
+
+// With -authority the key goes only to hosts whose certificate is from that authority.
+func TestAuthority(t *testing.T) {
+	f := newHost(t)
+	host := httptest.NewTLSServer(f.handler)
+	defer host.Close()
+	host.Config.ErrorLog = log.New(io.Discard, "", 0)
+	file := filepath.Join(f.c.TempDir(), "authority.pem")
+	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: host.Certificate().Raw})
+	f.c.Assert(os.WriteFile(file, block, 0o644), qt.IsNil)
+	args := []string{"history", "-host", host.Listener.Addr().String(), "-keyFile", zbiorka + "keys/operator.key", "-authority"}
+	code, _, errOut := run(Commander{}, append(args, file)...)
+	f.c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", errOut))
+	other := filepath.Join(f.c.TempDir(), "other.pem")
+	f.c.Assert(os.WriteFile(other, otherAuthority(f.c), 0o644), qt.IsNil)
+	code, _, errOut = run(Commander{}, append(args, other)...)
+	f.c.Assert(code, qt.Equals, exitRefused)
+	f.c.Assert(errOut, qt.Contains, "unknown authority")
+}
+
+// otherAuthority returns a new self-signed certificate.
+func otherAuthority(c *qt.C) []byte {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	template := x509.Certificate{SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, &template, &template, &key.PublicKey, key)
+	c.Assert(err, qt.IsNil)
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
--- a/operator/key.go
+++ b/operator/key.go
@@ -55,11 +55,12 @@
 	answer.Target = entry.Target
 	answer.Epoch = entry.Epoch.String()
 	facts := o.facts(r.Context())
-	for _, t := range targetRows(st, &facts) {
-		if t.Name == entry.Target {
-			answer.TargetState = t.State
-			answer.TargetReason = t.Reason
-			answer.Host = t.Host
+	for i := range facts.Targets {
+		if facts.Targets[i].Name == entry.Target {
+			row := targetRow(st, &facts.Targets[i])
+			answer.TargetState = row.State
+			answer.TargetReason = row.Reason
+			answer.Host = row.Host
 		}
 	}
 	for _, l := range facts.Leases {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -57,6 +57,7 @@
 
 	server  serverState
 	inForce atomic.Pointer[parsed]
+	last    lastStatus
 }
 
 // Handler returns the routes of the operator address.
--- a/operator/page.go
+++ b/operator/page.go
@@ -18,7 +18,7 @@
 // page shows the status to people. It refreshes by itself and needs no script.
 func (o *Operator) page(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
-	if err := pageTemplate.Execute(w, o.collect(r.Context())); err != nil {
+	if err := pageTemplate.Execute(w, o.recent(r.Context())); err != nil {
 		// The head has been sent; what is left is to count the cut page.
 		counters.Add("pageErrors", 1)
 	}
--- a/operator/service_test.go
+++ b/operator/service_test.go
@@ -1,10 +1,13 @@
 package operator
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -130,3 +133,57 @@
 	f.c.Assert(get("/v1/ready"), qt.Equals, http.StatusServiceUnavailable)
 	f.c.Assert(get("/v1/live"), qt.Equals, http.StatusOK)
 }
+
+// Many pages and waiting commands must not multiply the work, and a change must show at once all the same.
+func TestStatusIsSharedUntilTheStateChanges(t *testing.T) {
+	f := newFixture(t)
+	made := 0
+	f.o.Facts = func(context.Context) Facts {
+		made++
+		return f.facts
+	}
+	// The age runs on the real clock, so a slow machine may make the status more often, but never once for each request.
+	for range 1000 {
+		f.o.recent(t.Context())
+	}
+	f.c.Assert(made < 1000, qt.IsTrue)
+	_, a := f.post(service, presenter.SetService{DataCentre: "krakow", Out: true, Operator: "ada", Request: "r", Force: true})
+	f.c.Assert(a.Outcome, qt.Equals, presenter.Applied)
+	f.c.Assert(f.o.recent(t.Context()).DataCentres[2].Out, qt.IsTrue)
+}
+
+// Tools that leave connections open must not take the host's file descriptors.
+func TestConnectionsAreBounded(t *testing.T) {
+	f := newFixture(t)
+	c := f.c
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	f.o.Start(ln, nil)
+	var open []net.Conn
+	for range maxConnections {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		c.Assert(err, qt.IsNil)
+		open = append(open, conn)
+	}
+	client := http.Client{}
+	answered := make(chan error, 1)
+	go func() {
+		res, err := client.Get("http://" + ln.Addr().String() + "/v1/live")
+		if err == nil {
+			err = res.Body.Close()
+		}
+		answered <- err
+	}()
+	select {
+	case <-answered:
+		c.Error("a connection above the limit was served")
+	case <-time.After(50 * time.Millisecond):
+	}
+	for _, conn := range open {
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+	c.Assert(<-answered, qt.IsNil)
+	client.CloseIdleConnections()
+	c.Assert(f.o.Close(t.Context()), qt.IsNil)
+	<-f.o.Done()
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -17,7 +17,7 @@
 )
 
 func (o *Operator) status(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, o.collect(r.Context()))
+	writeJSON(w, http.StatusOK, o.recent(r.Context()))
 }
 
 func (o *Operator) history(w http.ResponseWriter, _ *http.Request) {
@@ -173,20 +173,10 @@
 	}
 	rows := make([]presenter.Target, 0, len(facts.Targets))
 	known := make(map[string]bool, len(facts.Targets))
-	for _, t := range facts.Targets {
-		known[t.Name] = true
-		row := presenter.Target{
-			Name:       t.Name,
-			Service:    t.Service,
-			DataCentre: t.DataCentre,
-			Host:       t.Host,
-			State:      t.State,
-			Reason:     t.Reason,
-			HeardAgoMs: t.HeardAgo.Milliseconds(),
-			InFlight:   t.InFlight,
-			Slots:      slots[t.Name],
-		}
-		addChange(st, &row)
+	for i := range facts.Targets {
+		row := targetRow(st, &facts.Targets[i])
+		known[row.Name] = true
+		row.Slots = slots[row.Name]
 		rows = append(rows, row)
 	}
 	for name := range st.TargetsOut {
@@ -206,6 +196,22 @@
 	return rows
 }
 
+// targetRow leaves out the number of slots.
+func targetRow(st *applier.State, t *TargetFacts) presenter.Target {
+	row := presenter.Target{
+		Name:       t.Name,
+		Service:    t.Service,
+		DataCentre: t.DataCentre,
+		Host:       t.Host,
+		State:      t.State,
+		Reason:     t.Reason,
+		HeardAgoMs: t.HeardAgo.Milliseconds(),
+		InFlight:   t.InFlight,
+	}
+	addChange(st, &row)
+	return row
+}
+
 // addChange shows a takeout in place of the state that the target itself reported.
 func addChange(st *applier.State, row *presenter.Target) {
 	if change, out := st.TargetsOut[row.Name]; out {
