--- a/server/tls_test.go
+++ b/server/tls_test.go
@@ -83,7 +83,7 @@
 			Name:       name,
 			DataCentre: "north",
 			Roles:      settler.Roles{Entry: true, Control: i == 0},
-			DataFolder: c.Mkdir(),
+			DataFolder: c.TempDir(),
 			Listen:     settler.Listen{Caller: free, Peer: free, RPC: free, Announce: free, Operator: free},
 			Keys:       settler.Keys{System: "test-system-key-0000", Target: "test-target-key-0000", Operator: "test-operator-key-00"},
 			TLS:        files,
