Expect a renewed delegation only for a slot that was given back

TestDelegationKeepsEpochsRising failed.

Change: the test has its first form again, that a repeated delegation of a moved slot keeps its index, and also demands that a slot that was given back gets a higher index and that an epoch below it is refused.

Checked: the tests of applier, controller, follower, journaler, proposer and replicator pass.

--- a/applier/apply_test.go
+++ b/applier/apply_test.go
@@ -198,10 +198,9 @@
 	}
 	m.ok(assign("dc1", a1, hot, owner(7, "t1", a1, 2)))
 	published := m.state
-	first := m.ok(delegate("dc2", 7))
-	// A slot without an owner is delegated anew, so that an authority that gave it back may use it again.
 	moved := m.ok(delegate("dc2", 7))
-	c.Assert(moved > first, qt.IsTrue)
+	// Its new authority has not given it back, so a repeated delegation changes nothing.
+	m.ok(delegate("dc2", 7))
 	e, _ := m.state.Slots["tally"].Entry(7)
 	c.Assert(e, qt.Equals, applier.SlotEntry{
 		Slot:        7,
@@ -219,6 +218,12 @@
 	back := m.ok(delegate("dc1", 7))
 	m.refused(assign("dc1", a1, nil, owner(7, "t1", a1, 90)), "epoch .*")
 	m.ok(assign("dc1", a1, nil, owner(7, "t1", back, 1)))
+	// A slot that was given back is delegated anew, and may be used again only under the new index.
+	m.ok(assign("dc1", a1, nil, owner(7, "", back, 2)))
+	again := m.ok(delegate("dc1", 7))
+	c.Assert(again > back, qt.IsTrue)
+	m.refused(assign("dc1", a1, nil, owner(7, "t1", back, 3)), "epoch .* is below index .*")
+	m.ok(assign("dc1", a1, nil, owner(7, "t1", again, 1)))
 	// What was published before must not have changed.
 	e, _ = published.Slots["tally"].Entry(7)
 	c.Assert(e.Target, qt.Equals, "t1")
