Delegate a slot anew only after its authority gave it back

Change: the narrow rule again: a repeated delegation changes nothing unless the authority gave the slot back.

Conclusion: a repeated DelegateMsg is idempotent again.

--- a/applier/assign.go
+++ b/applier/assign.go
@@ -34,9 +34,10 @@
 	moved := make(map[keyer.Slot]bool)
 	for _, slot := range m.Slots {
 		old, _ := edit.table.Entry(slot)
-		// A slot without an owner is delegated anew even to the same data centre: an authority that gave it back may use
-		// it again only after that.
-		if old.DataCentre == m.DataCentre && old.Target != "" {
+		// A slot that its authority gave back is delegated anew even to the same data centre: the authority may use it
+		// again only after that.
+		given := old.Target == "" && old.Epoch != 0 && old.DelegatedAt <= uint64(old.Epoch.Index())
+		if old.DataCentre == m.DataCentre && !given {
 			continue
 		}
 		// The epoch stays, so that the next owner's epoch has to be higher.
