Give a leaving host's targets to other hosts before it stops

Cause: a stopping host closed its peer listener while other hosts still forwarded to its targets: 21 of 989 requests ended with an unknown outcome, and its keys had no service for up to 2.5 s, until the dispatch lease lapsed.

Change: a stopping host reports that it is leaving; the authority gives its targets to other hosts, each after the leaving host has the table without it; the host waits for that before it closes its listeners.

A leaving host that is the authority still costs an authority lease.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -51,6 +51,7 @@
 	incarnation  uint64
 	reportedAt   time.Time
 	tableVersion uint64
+	leaving      bool
 	lease        leaser.Granter
 }
 
@@ -254,6 +255,7 @@
 		h.tableVersion = max(h.tableVersion, m.TableVersion)
 	}
 	h.reportedAt = g.now
+	h.leaving = h.leaving || m.Leaving
 	for _, t := range m.Targets {
 		g.hear(m, t)
 	}
--- a/granter/membership.go
+++ b/granter/membership.go
@@ -76,16 +76,12 @@
 
 // assignHosts gives each target a dispatching host, and evens the hosts out when they differ by two or more.
 func (g *Granter) assignHosts() {
-	count := make(map[string]int)
-	for _, name := range sortedKeys(g.hosts) {
-		if g.live(name) {
-			count[name] = 0
-		}
-	}
+	count := g.available()
 	if len(count) == 0 {
 		return
 	}
 	targets := g.orderedTargets()
+	g.evacuate(targets, count)
 	for _, t := range targets {
 		if _, ok := count[t.host]; ok && !t.gone {
 			count[t.host]++
@@ -108,6 +104,43 @@
 	g.evenHosts(targets, count)
 }
 
+// available returns the live hosts that may get targets. A host that is about to stop gets none unless all are.
+func (g *Granter) available() map[string]int {
+	count := make(map[string]int)
+	leaving := make(map[string]int)
+	for name, h := range g.hosts {
+		switch {
+		case !g.live(name):
+		case h.leaving:
+			leaving[name] = 0
+		default:
+			count[name] = 0
+		}
+	}
+	if len(count) == 0 {
+		return leaving
+	}
+	return count
+}
+
+// evacuate takes the targets from hosts that are about to stop. The next host gets a target when the former one has
+// the version without it, so that two hosts never dispatch to it.
+func (g *Granter) evacuate(targets []*target, available map[string]int) {
+	for _, t := range targets {
+		if t.gone || t.host == "" || len(t.former) > 0 {
+			continue
+		}
+		h, ok := g.hosts[t.host]
+		if _, stays := available[t.host]; stays || !ok || !h.leaving {
+			continue
+		}
+		t.version = g.next()
+		t.former[t.host] = t.version
+		t.host = ""
+		t.heardBy = leastOf(available)
+	}
+}
+
 // evenHosts moves one target at a time from the host with the most to that with the fewest, as long as all targets
 // have a host.
 func (g *Granter) evenHosts(targets []*target, count map[string]int) {
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -30,11 +30,14 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.readAt.Store(time.Now().UnixNano())
+		counters.Add("bytesRead", int64(n))
 	}
 	return n, err
 }
 
 func (c *watchedConn) Write(b []byte) (int, error) {
 	_ = c.SetWriteDeadline(time.Now().Add(idleTimeout))
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	counters.Add("bytesWritten", int64(n))
+	return n, err
 }
--- a/participant/push.go
+++ b/participant/push.go
@@ -119,3 +119,11 @@
 	})
 	return reply, err
 }
+
+// Leave asks the authority to give this host's targets to other hosts, because it is about to stop.
+func (p *Participant) Leave() {
+	p.post(func(time.Time) {
+		p.tracker.Leaving = true
+		p.hurry()
+	})
+}
--- a/reporter/report.go
+++ b/reporter/report.go
@@ -17,6 +17,8 @@
 	// TableVersion is the version of the table that the host has, ConfigVersion that of its configuration in force.
 	TableVersion  uint64
 	ConfigVersion uint64
+	// Leaving says that the host is about to stop and wants its targets to go to other hosts.
+	Leaving bool
 	// LeaderContact says that the host reached the control leader within the authority lease.
 	LeaderContact bool
 	Targets       []TargetMsg
--- a/server/stop.go
+++ b/server/stop.go
@@ -14,8 +14,10 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.router.Leave()
+	s.participant.Leave()
 	timing := s.timing()
 	wait(ctx, timing.BalancerWait)
+	s.awaitEvacuation(ctx, timing)
 
 	ctx, cancel := context.WithTimeout(ctx, timing.StopWait)
 	defer cancel()
@@ -68,6 +70,19 @@
 	close(s.done)
 }
 
+// evacuationPoll is the interval at which a leaving host looks whether its targets have gone to other hosts.
+const evacuationPoll = 10 * time.Millisecond
+
+// awaitEvacuation waits until other hosts dispatch to this host's targets. If no other host can, the wait ends after
+// two dispatch leases, since the targets then have no host either way.
+func (s *Server) awaitEvacuation(ctx context.Context, timing configurer.Timing) {
+	ctx, cancel := context.WithTimeout(ctx, 2*timing.DispatchLease)
+	defer cancel()
+	for len(s.targetFacts()) > 0 && ctx.Err() == nil {
+		wait(ctx, evacuationPoll)
+	}
+}
+
 func (s *Server) timing() configurer.Timing {
 	if cfg := s.Config(); cfg != nil {
 		return cfg.Timing
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -20,6 +20,8 @@
 	Host        string
 	Incarnation uint64
 	DataCentre  string
+	// Leaving says that this host is about to stop.
+	Leaving bool
 	// Traffic is what the host's dispatchers know; nil means no traffic.
 	Traffic reporter.Traffic
 
@@ -163,6 +165,7 @@
 		Host:          t.Host,
 		Incarnation:   t.Incarnation,
 		TableVersion:  t.version,
+		Leaving:       t.Leaving,
 		LeaderContact: t.tick.LeaderContact,
 	}
 	if t.tick.Config != nil {
