--- a/process_test.go
+++ b/process_test.go
@@ -106,11 +106,13 @@
 
 // startDeployment starts two hosts and five targets in each of three data centres, and waits until each slot is served.
 // Three hosts, one in each data centre, are voters.
-func startDeployment(t *testing.T) *deployment {
+func startDeployment(t testing.TB) *deployment {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	t.Parallel()
+	if p, ok := t.(interface{ Parallel() }); ok {
+		p.Parallel()
+	}
 	running <- struct{}{}
 	t.Cleanup(func() { <-running })
 	c := qt.New(t)
