Shorten the leases so that a lost host is replaced within the bound more often

Cause: the loss of a host that leads the control group and is the authority of its data centre adds up election, authority lease, take-over and report: with 400, 900 and 750 ms more than the bound of 2 s.

Change: defaults of electionTimeout 300 ms, authorityLease 650 ms and dispatchLease 600 ms; the emulated target tries another host after 200 ms beyond the held answer instead of 300 ms.

--- a/configurer/config.go
+++ b/configurer/config.go
@@ -50,9 +50,9 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Heartbeat:       150 * time.Millisecond,
-		DispatchLease:   750 * time.Millisecond,
-		AuthorityLease:  900 * time.Millisecond,
-		ElectionTimeout: 400 * time.Millisecond,
+		DispatchLease:   600 * time.Millisecond,
+		AuthorityLease:  650 * time.Millisecond,
+		ElectionTimeout: 300 * time.Millisecond,
 		StopWait:        30 * time.Second,
 		BalancerWait:    2 * time.Second,
 	}
--- a/emulator/heartbeat.go
+++ b/emulator/heartbeat.go
@@ -17,7 +17,7 @@
 
 // heartbeatTimeout bounds one heartbeat. It is below the default dispatch lease, so that a silent host leaves time to
 // ask another one.
-const heartbeatTimeout = 300 * time.Millisecond
+const heartbeatTimeout = 200 * time.Millisecond
 
 // States of a target in its heartbeat.
 const (
--- a/operator/apply_test.go
+++ b/operator/apply_test.go
@@ -161,7 +161,7 @@
 	}
 	shorter := f.change(1, "ada", "32")
 	shorter.Base = strings.Replace(shorter.Base, "cutOffHold = 1h", "cutOffHold = 2m", 1)
-	shorter.Base = strings.Replace(shorter.Base, "dispatchLease = 750ms", "dispatchLease = 600ms", 1)
+	shorter.Base = strings.Replace(shorter.Base, "dispatchLease = 600ms", "dispatchLease = 500ms", 1)
 	shorter.Force = true
 	_, a := f.post(configurations, shorter)
 	c.Assert(a.Outcome, qt.Equals, presenter.Refused)
