Send targets away from a host without a dispatch lease

Cause: an isolated host went on answering its targets with an empty grant, so they never asked another host, were taken for lost there, and their slots moved to other targets.

Change: such a host answers 503, and the target asks the next host of its data centre. Accepted changes of operators are logged by the host that took them.

--- a/server/operator.go
+++ b/server/operator.go
@@ -13,6 +13,9 @@
 		Proposer: s.proposer,
 		Facts:    s.facts,
 		Ready:    s.notReady,
+		Log: func(message string, pairs ...any) {
+			s.logger.Info(message, pairs...)
+		},
 	}
 	if s.listeners.operator != nil {
 		s.operator.Start(s.listeners.operator, s.certifier.Public())
--- a/tracker/handler.go
+++ b/tracker/handler.go
@@ -90,7 +90,7 @@
 		switch {
 		case err != nil || reply.NoAuthority:
 			counters.Add("heartbeatsWithoutAuthority", 1)
-			refuse(w, http.StatusServiceUnavailable, "host knows no authority yet")
+			refuse(w, http.StatusServiceUnavailable, "host knows no authority or holds no dispatch lease")
 		case reply.Elsewhere != "":
 			counters.Add("misdirectedHeartbeats", 1)
 			respond(w, http.StatusMisdirectedRequest, wireElsewhere{
--- a/tracker/heartbeat.go
+++ b/tracker/heartbeat.go
@@ -21,7 +21,9 @@
 	t.hear(key, m)
 	reply := HeartbeatReply{
 		Version:     t.version,
-		NoAuthority: t.index == 0,
+		// Without a dispatch lease this host can grant nothing. The target then asks the other hosts, one of which is
+		// its dispatching host soon; a target that stayed here would be taken for lost.
+		NoAuthority: t.index == 0 || !t.dispatch.Valid(t.now),
 		// The fence rises with the authority, so that a target rejects what an older one still grants.
 		Fence: fencer.NewEpoch(uint32(t.index), 0),
 	}
--- a/tracker/message.go
+++ b/tracker/message.go
@@ -39,7 +39,7 @@
 	// Elsewhere names the target's dispatching host and its announce address, if it is another one.
 	Elsewhere string
 	Announce  netip.AddrPort
-	// NoAuthority says that this host knows no authority yet.
+	// NoAuthority says that this host knows no authority, or holds no dispatch lease from it.
 	NoAuthority bool
 	// Lease is the length of the target's lease; zero grants nothing.
 	Lease     time.Duration
