Name steps of the pushed news by what they do

Cause: names such as hurry, spread, beaten and chill needed explaining.

Change: reportNow, notifyHosts, handleNews, releaseHeartbeats, heartbeatAnswered, answerTarget, recordHeartbeat, sendNow and TurnCold; format. Behaviour is unchanged.

Conclusion: reads better.

--- a/emulator/control.go
+++ b/emulator/control.go
@@ -68,7 +68,7 @@
 		e.Drain(r.URL.Query().Get("on") != "false")
 	})
 	r.Post("/v1/cold", func(http.ResponseWriter, *http.Request) {
-		e.Chill()
+		e.TurnCold()
 	})
 	return r
 }
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -127,9 +127,9 @@
 // work. Requests that were sent before the first of them may arrive until the second.
 const coldNotice = 2
 
-// Chill makes the target cold again without warning. Until hosts have answered two heartbeats that state it, the target
+// TurnCold makes the target cold again without warning. Until hosts have answered two heartbeats that state it, the target
 // refuses what it cannot bear; afterwards it crashes under it.
-func (e *Emulator) Chill() {
+func (e *Emulator) TurnCold() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l := e.life; l != nil {
--- a/emulator/handler.go
+++ b/emulator/handler.go
@@ -226,7 +226,7 @@
 		if l.busy[run.Slot]--; l.busy[run.Slot] == 0 {
 			delete(l.busy, run.Slot)
 			if l.releasing[run.Slot] {
-				l.hasten()
+				l.sendNow()
 			}
 		}
 	}
--- a/emulator/heartbeat.go
+++ b/emulator/heartbeat.go
@@ -132,8 +132,8 @@
 	return l.ackVersion
 }
 
-// hasten ends a heartbeat whose answer is held back and sends the next one at once.
-func (l *life) hasten() {
+// sendNow ends a heartbeat whose answer is held back and sends the next one at once.
+func (l *life) sendNow() {
 	select {
 	case l.urgent <- struct{}{}:
 	default:
--- a/experimenter/random.go
+++ b/experimenter/random.go
@@ -37,7 +37,7 @@
 	case 2:
 		return pair("slow "+tg.name, do(func() { tg.Slow(15) }), "normal "+tg.name, do(func() { tg.Slow(1) }))
 	case 3:
-		return []step{newStep(from, "cold again "+tg.name, do(tg.Chill))}
+		return []step{newStep(from, "cold again "+tg.name, do(tg.TurnCold))}
 	case 4:
 		return pair("drain "+tg.name, do(func() { tg.Drain(true) }), "undrain "+tg.name, do(func() { tg.Drain(false) }))
 	case 5:
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -178,7 +178,7 @@
 		case 0:
 			steps = append(steps, newStep(t.at(0.4), "restart "+tg.name, do(func() { tg.Crash(200 * time.Millisecond) })))
 		case 1:
-			steps = append(steps, newStep(t.at(0.7), "cold again "+tg.name, do(tg.Chill)))
+			steps = append(steps, newStep(t.at(0.7), "cold again "+tg.name, do(tg.TurnCold)))
 		}
 	}
 	return steps
--- a/participant/calls.go
+++ b/participant/calls.go
@@ -23,7 +23,7 @@
 	if !p.leadingSince.IsZero() {
 		p.beatAt = now
 		p.leader = p.options.Host.Name
-		p.beaten(now, now, p.delegator.Heartbeat(now, m))
+		p.heartbeatAnswered(now, now, p.delegator.Heartbeat(now, m))
 		return
 	}
 	addresses := p.controlHosts(st)
@@ -44,7 +44,7 @@
 			p.beating = left > 0
 			if err == nil && reply.Leading {
 				p.leader = name
-				p.beaten(now, asked, reply)
+				p.heartbeatAnswered(now, asked, reply)
 			} else if p.leader == name {
 				p.leader = ""
 				p.beatAt = time.Time{}
@@ -92,8 +92,8 @@
 	return m
 }
 
-// beaten takes the leader's answer to a heartbeat that was sent at asked.
-func (p *Participant) beaten(now, asked time.Time, r delegator.HeartbeatReply) {
+// heartbeatAnswered takes the leader's answer to a heartbeat that was sent at asked.
+func (p *Participant) heartbeatAnswered(now, asked time.Time, r delegator.HeartbeatReply) {
 	if !r.Leading {
 		return
 	}
@@ -149,13 +149,13 @@
 // granted takes the authority's answer. A new table is acknowledged at once, because moves wait for that.
 func (p *Participant) granted(now, asked time.Time, g reporter.GrantMsg) {
 	if len(g.Targets)+len(g.Slots) > 0 {
-		p.hurry()
+		p.reportNow()
 	}
 	p.tracker.Update(now, tracker.GrantedMsg{
 		Asked: asked,
 		Grant: g,
 	})
-	p.announceNews()
+	p.releaseHeartbeats()
 }
 
 // grant passes a message to the granter and carries its effects out; answers to reports are returned.
@@ -179,7 +179,7 @@
 			Result:    r,
 			Err:       err,
 		})
-		p.spread()
+		p.notifyHosts()
 	})
 }
 
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -58,12 +58,12 @@
 	config        *configurer.Config
 	statusAt      time.Time
 	// wake makes the loop tick at once. news is closed when the table of this host changes.
-	wake          chan struct{}
-	news          chan struct{}
-	newsVersion   uint64
-	spreadVersion uint64
-	// telling has the hosts that are being told of a new table.
-	telling map[string]bool
+	wake            chan struct{}
+	news            chan struct{}
+	newsVersion     uint64
+	notifiedVersion uint64
+	// notifying has the hosts that are being told of a new table.
+	notifying map[string]bool
 }
 
 // New returns a Participant that does nothing until Start.
@@ -86,7 +86,7 @@
 		done:        make(chan struct{}),
 		wake:        make(chan struct{}, 1),
 		news:        make(chan struct{}),
-		telling:     make(map[string]bool),
+		notifying:   make(map[string]bool),
 		directories: make(map[string]delegator.DirectoryMsg),
 	}
 	p.granter = &granter.Granter{
@@ -197,7 +197,7 @@
 	}
 }
 
-func (p *Participant) beatOfTarget(now time.Time, m tracker.HeartbeatMsg) (reply tracker.HeartbeatReply) {
+func (p *Participant) answerTarget(now time.Time, m tracker.HeartbeatMsg) (reply tracker.HeartbeatReply) {
 	for _, e := range p.tracker.Update(now, m) {
 		if r, ok := e.(tracker.HeartbeatReply); ok {
 			reply = r
@@ -231,8 +231,8 @@
 		})
 	}
 	p.report(now, st)
-	p.spread()
-	p.announceNews()
+	p.notifyHosts()
+	p.releaseHeartbeats()
 	p.publish(now)
 }
 
--- a/participant/push.go
+++ b/participant/push.go
@@ -29,18 +29,18 @@
 	ctx, cancel := context.WithTimeout(a.p.ctx, serviceLimit)
 	defer cancel()
 	return a.p.ask(ctx, func(time.Time) {
-		a.p.hear(*args)
+		a.p.handleNews(*args)
 	})
 }
 
-func (p *Participant) hear(m NewsMsg) {
+func (p *Participant) handleNews(m NewsMsg) {
 	if m.Version > p.tracker.Version() || m.AuthorityIndex > p.tracker.Index() {
-		p.hurry()
+		p.reportNow()
 	}
 }
 
-// hurry makes the next report due now.
-func (p *Participant) hurry() {
+// reportNow makes the next report due now.
+func (p *Participant) reportNow() {
 	p.reportAt = time.Time{}
 	select {
 	case p.wake <- struct{}{}:
@@ -48,42 +48,42 @@
 	}
 }
 
-// spread tells the other hosts of the data centre of a new table. A host that is being told already is told again only
+// notifyHosts tells the other hosts of the data centre of a new table. A host that is being told already is told again only
 // when that call has ended, so that a slow host gets one call at a time.
-func (p *Participant) spread() {
+func (p *Participant) notifyHosts() {
 	version := p.granter.Version()
-	if version == p.spreadVersion || p.granter.Index() == 0 {
+	if version == p.notifiedVersion || p.granter.Index() == 0 {
 		return
 	}
-	p.spreadVersion = version
-	p.hurry()
+	p.notifiedVersion = version
+	p.reportNow()
 	for name, h := range p.options.Source.State().Hosts {
-		if h.DataCentre != p.options.Host.DataCentre || name == p.options.Host.Name || p.telling[name] {
+		if h.DataCentre != p.options.Host.DataCentre || name == p.options.Host.Name || p.notifying[name] {
 			continue
 		}
 		m := NewsMsg{
 			AuthorityIndex: p.granter.Index(),
 			Version:        version,
 		}
-		p.telling[name] = true
+		p.notifying[name] = true
 		p.transport.call(p.config.Timing.Heartbeat, h.RPC, "Authority.News", &m, &NewsReply{}, func(_, _ time.Time, err error) {
-			delete(p.telling, name)
+			delete(p.notifying, name)
 			if err == nil && p.granter.Version() != m.Version {
-				p.spreadVersion = 0
+				p.notifiedVersion = 0
 			}
 		})
 	}
 }
 
-// announceNews ends the wait of held heartbeats if the table changed, and reports what the authority has to know soon.
-func (p *Participant) announceNews() {
+// releaseHeartbeats ends the wait of held heartbeats if the table changed, and reports what the authority has to know soon.
+func (p *Participant) releaseHeartbeats() {
 	if v := p.tracker.Version(); v != p.newsVersion {
 		p.newsVersion = v
 		close(p.news)
 		p.news = make(chan struct{})
 	}
 	if p.tracker.TakeUrgent() {
-		p.hurry()
+		p.reportNow()
 	}
 }
 
@@ -94,8 +94,8 @@
 	var news <-chan struct{}
 	var hold time.Duration
 	err := p.ask(ctx, func(now time.Time) {
-		reply = p.beatOfTarget(now, m)
-		p.announceNews()
+		reply = p.answerTarget(now, m)
+		p.releaseHeartbeats()
 		news = p.news
 		if p.config != nil {
 			hold = min(m.Wait, p.config.Timing.DispatchLease/maxHold)
@@ -115,7 +115,7 @@
 	}
 	m.Repeated = true
 	err = p.ask(ctx, func(now time.Time) {
-		reply = p.beatOfTarget(now, m)
+		reply = p.answerTarget(now, m)
 	})
 	return reply, err
 }
@@ -124,6 +124,6 @@
 func (p *Participant) Leave() {
 	p.post(func(time.Time) {
 		p.tracker.Leaving = true
-		p.hurry()
+		p.reportNow()
 	})
 }
--- a/participant/services.go
+++ b/participant/services.go
@@ -59,7 +59,7 @@
 			g = answer
 		}
 	}
-	p.spread()
+	p.notifyHosts()
 	return g
 }
 
--- a/participant/world_test.go
+++ b/participant/world_test.go
@@ -128,7 +128,7 @@
 		case *granter.PromiseMsg:
 			answer = to.promise(to.now(), *m)
 		case *NewsMsg:
-			to.hear(*m)
+			to.handleNews(*m)
 			answer = NewsReply{}
 		}
 		w.send(&to.clock, &p.clock, func() {
@@ -314,7 +314,7 @@
 		m.State = "draining"
 	}
 	w.send(&t.clock, &p.clock, func() {
-		r := p.beatOfTarget(p.now(), m)
+		r := p.answerTarget(p.now(), m)
 		w.send(&p.clock, &t.clock, func() { t.accept(asked, r, p) })
 	})
 }
--- a/tracker/heartbeat.go
+++ b/tracker/heartbeat.go
@@ -18,9 +18,9 @@
 		},
 		incarnation: m.Incarnation,
 	}
-	t.hear(key, m)
+	t.recordHeartbeat(key, m)
 	reply := HeartbeatReply{
-		Version:     t.version,
+		Version: t.version,
 		// Without a dispatch lease this host can grant nothing. The target then asks the other hosts, one of which is
 		// its dispatching host soon; a target that stayed here would be taken for lost.
 		NoAuthority: t.index == 0 || !t.dispatch.Valid(t.now),
@@ -50,8 +50,8 @@
 	return reply
 }
 
-// hear records a heartbeat. A repeated one is the same heartbeat, answered anew: it is no further sign of life.
-func (t *Tracker) hear(key heardKey, m HeartbeatMsg) {
+// recordHeartbeat records a heartbeat. A repeated one is the same heartbeat, answered anew: it is no further sign of life.
+func (t *Tracker) recordHeartbeat(key heardKey, m HeartbeatMsg) {
 	old, ok := t.heard[key]
 	if ok && m.Repeated {
 		return
