--- a/experimenter/experimenter_test.go
+++ b/experimenter/experimenter_test.go
@@ -143,3 +143,23 @@
 	c.Assert(tr.findings, qt.HasLen, 1)
 	c.Assert(tr.findings[0].Message, qt.Contains, "both operators won")
 }
+
+// TestRandomFaultsBreakNoInvariant runs a short random schedule of faults against real hosts in this process. It guards
+// against broken invariants under faults that meet, and judges by invariants alone.
+func TestRandomFaultsBreakNoInvariant(t *testing.T) {
+	c := qt.New(t)
+	var table strings.Builder
+	x := Experimenter{
+		Stdout: &table,
+	}
+	results, err := x.Run(context.Background(), Options{
+		Deployment: "aebischer",
+		Scenario:   "random",
+		Policy:     PolicyDefault,
+		Seed:       5,
+		For:        4 * time.Second,
+		Rate:       300,
+	})
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", table.String()))
+	c.Assert(results[0].Records, qt.Not(qt.HasLen), 0)
+}
