Name an incarnation and the limit of a cold target by the terms of the field

Cause: the emulator's types life and bears needed explaining.

Change: incarnation, current and ColdLimit; the JSON of a run says coldLimit. Behaviour is unchanged.

Conclusion: reads better.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -132,11 +132,11 @@
 func auditCold(runs []emulator.Run) []Finding {
 	var findings []Finding
 	for _, r := range runs {
-		if r.Result != emulator.ResultRefused && r.InFlight > r.Bears {
+		if r.Result != emulator.ResultRefused && r.InFlight > r.ColdLimit {
 			findings = append(findings, Finding{
 				Invariant: "I3",
 				Message: fmt.Sprintf("%s was cold, bore %d requests in progress and got %d",
-					r.Target, r.Bears, r.InFlight),
+					r.Target, r.ColdLimit, r.InFlight),
 				Evidence: describeRuns([]emulator.Run{r}),
 			})
 		}
--- a/auditor/auditor_test.go
+++ b/auditor/auditor_test.go
@@ -46,7 +46,7 @@
 		Ended:      at(to),
 		Result:     result,
 		InFlight:   1,
-		Bears:      1,
+		ColdLimit:  1,
 	}
 }
 
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -122,7 +122,7 @@
 		Runs:     len(e.runs),
 		Crashes:  e.crashes,
 	}
-	if l := e.life; l != nil {
+	if l := e.current; l != nil {
 		s.Up = true
 		s.Incarnation = l.incarnation
 		s.Cold = l.cold
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -36,7 +36,7 @@
 	addr    netip.AddrPort
 	control *http.Server
 	ctlAddr netip.AddrPort
-	life    *life
+	current *incarnation
 	// thaw is closed at the end of a freeze; nil means not frozen.
 	thaw chan struct{}
 	// draining is the time since which the target says that it drains.
@@ -48,8 +48,8 @@
 	past        []Holding
 }
 
-// life is one incarnation. Its fields are guarded by the mutex of the Emulator.
-type life struct {
+// incarnation is one run of the target's process. Its fields are guarded by the mutex of the Emulator.
+type incarnation struct {
 	e           *Emulator
 	incarnation uint64
 	ctx         context.Context
@@ -110,7 +110,7 @@
 		return errors.Wrapf(err, "target %s", e.opts.Name)
 	}
 	now := time.Now()
-	l := &life{
+	l := &incarnation{
 		e:         e,
 		ln:        newListener(ln, e.opts.Connections),
 		owned:     make(map[keyer.Slot]*Holding),
@@ -120,7 +120,7 @@
 		busy:      make(map[keyer.Slot]int),
 		cold:      !e.opts.Warm || e.Crashes() > 0,
 		coldSince: now,
-		// A target that restarts bears no more before its first heartbeat than after it.
+		// A target that restarts handles no more before its first heartbeat than after it.
 		coldAnswers: coldNotice,
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
@@ -139,7 +139,7 @@
 	e.incarnation++
 	l.incarnation = e.incarnation
 	e.addr = ln.Addr().(*net.TCPAddr).AddrPort()
-	e.life = l
+	e.current = l
 	e.wg.Add(2)
 	e.mu.Unlock()
 	go func() {
@@ -216,10 +216,10 @@
 func (e *Emulator) InFlight() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.life == nil {
+	if e.current == nil {
 		return 0
 	}
-	return e.life.inFlight
+	return e.current.inFlight
 }
 
 // end ends the current incarnation: all connections are reset and all it held is lost. It returns false if there was
@@ -227,12 +227,12 @@
 func (e *Emulator) end() bool {
 	now := time.Now()
 	e.mu.Lock()
-	l := e.life
+	l := e.current
 	if l == nil {
 		e.mu.Unlock()
 		return false
 	}
-	e.life = nil
+	e.current = nil
 	for slot := range l.owned {
 		l.endHolding(slot, now)
 	}
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -230,8 +230,8 @@
 	c.Assert(e.Runs()[0].Result, qt.Equals, ResultStale)
 }
 
-// TestFallsOver guards against a cold target that bears any load, and against one that returns as if it had not crashed.
-func TestFallsOver(t *testing.T) {
+// TestColdTargetCrashesUnderLoad guards against a cold target that takes any load, and against one that returns as if it had not crashed.
+func TestColdTargetCrashesUnderLoad(t *testing.T) {
 	c := qt.New(t)
 	e := start(t, Options{
 		ServiceTime: 200 * time.Millisecond,
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -25,11 +25,11 @@
 }
 
 // waitThaw waits while the target is frozen. It returns false if the incarnation has ended.
-func (l *life) waitThaw() bool {
+func (l *incarnation) waitThaw() bool {
 	for {
 		l.e.mu.Lock()
 		thaw := l.e.thaw
-		gone := l.e.life != l
+		gone := l.e.current != l
 		l.e.mu.Unlock()
 		if gone {
 			return false
@@ -49,15 +49,15 @@
 // a negative time means never.
 func (e *Emulator) Crash(returnAfter time.Duration) {
 	e.mu.Lock()
-	l := e.life
+	l := e.current
 	e.mu.Unlock()
 	e.crash(l, returnAfter)
 }
 
 // crash ends the incarnation l, unless it has ended already.
-func (e *Emulator) crash(l *life, returnAfter time.Duration) {
+func (e *Emulator) crash(l *incarnation, returnAfter time.Duration) {
 	e.mu.Lock()
-	if l == nil || e.life != l {
+	if l == nil || e.current != l {
 		e.mu.Unlock()
 		return
 	}
@@ -132,7 +132,7 @@
 func (e *Emulator) TurnCold() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if l := e.life; l != nil {
+	if l := e.current; l != nil {
 		l.cold = true
 		l.coldSince = time.Now()
 		l.coldDone = 0
--- a/emulator/handler.go
+++ b/emulator/handler.go
@@ -58,7 +58,7 @@
 }
 
 // ServeHTTP runs one request.
-func (l *life) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (l *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
@@ -98,12 +98,12 @@
 }
 
 // admit begins a run or says why not. It returns neither if the target fell over or is gone.
-func (l *life) admit(r *http.Request, arrived time.Time) (*Run, time.Duration, *refusal) {
+func (l *incarnation) admit(r *http.Request, arrived time.Time) (*Run, time.Duration, *refusal) {
 	run := newRun(r)
 	e := l.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.life != l {
+	if e.current != l {
 		return nil, 0, nil
 	}
 	now := time.Now()
@@ -117,7 +117,7 @@
 	run.LeaseUntil = l.lease.Until()
 	run.DrainingSince = e.draining
 	run.InFlight = l.inFlight
-	run.Bears = l.bears(now)
+	run.ColdLimit = l.coldLimit(now)
 	e.runs = append(e.runs, run)
 	if no := l.refuses(run, r, arrived); no != nil {
 		run.Ended = now
@@ -131,14 +131,14 @@
 	if run.Keyed {
 		l.busy[run.Slot]++
 	}
-	if run.InFlight > run.Bears {
+	if run.InFlight > run.ColdLimit {
 		go e.crash(l, e.opts.Restart)
 	}
 	return run, e.serviceTime(), nil
 }
 
 // refuses says why the target does not run a request, nil if it does. The caller holds e.mu.
-func (l *life) refuses(run *Run, r *http.Request, arrived time.Time) *refusal {
+func (l *incarnation) refuses(run *Run, r *http.Request, arrived time.Time) *refusal {
 	o := l.e.opts
 	deadline, ok := deadlineOf(r, arrived)
 	switch {
@@ -148,14 +148,14 @@
 		return &refusal{http.StatusConflict, "staleEpoch"}
 	case l.inFlight >= o.Slots, ok && !run.Started.Before(deadline):
 		return &refusal{http.StatusTooManyRequests, "overloaded"}
-	case l.inFlight+1 > run.Bears && l.coldAnswers < coldNotice:
+	case l.inFlight+1 > run.ColdLimit && l.coldAnswers < coldNotice:
 		return &refusal{http.StatusTooManyRequests, "cold"}
 	}
 	return nil
 }
 
 // holds reports whether the target may run keyed work for the slot of run. The caller holds e.mu.
-func (l *life) holds(run *Run, now time.Time) bool {
+func (l *incarnation) holds(run *Run, now time.Time) bool {
 	if !l.lease.Valid(now) {
 		return false
 	}
@@ -166,8 +166,8 @@
 	return ok && h.Epoch == run.Epoch && !l.releasing[run.Slot]
 }
 
-// bears returns how many requests in progress the target bears. The caller holds e.mu.
-func (l *life) bears(now time.Time) int {
+// coldLimit returns how many requests in progress the target can handle now. The caller holds e.mu.
+func (l *incarnation) coldLimit(now time.Time) int {
 	o := l.e.opts
 	if l.cold && (l.coldDone >= o.ColdRequests || o.ColdTime > 0 && now.Sub(l.coldSince) >= o.ColdTime) {
 		l.cold = false
@@ -179,7 +179,7 @@
 }
 
 // work takes the service time, or less if the caller goes away, the deadline passes or the target crashes.
-func (l *life) work(r *http.Request, wait time.Duration, arrived time.Time) Result {
+func (l *incarnation) work(r *http.Request, wait time.Duration, arrived time.Time) Result {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var late <-chan time.Time
@@ -202,7 +202,7 @@
 
 // finish ends a run and frees its slot before the answer is written, so that a host that sends the next request after
 // the answer never finds the slot taken.
-func (l *life) finish(run *Run, result Result) Result {
+func (l *incarnation) finish(run *Run, result Result) Result {
 	e := l.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -233,7 +233,7 @@
 	return result
 }
 
-func (l *life) answer(w http.ResponseWriter, run *Run) {
+func (l *incarnation) answer(w http.ResponseWriter, run *Run) {
 	a := Answer{
 		Identity: run.Identity,
 		Attempt:  run.Attempt,
--- a/emulator/heartbeat.go
+++ b/emulator/heartbeat.go
@@ -73,7 +73,7 @@
 }
 
 // heartbeats announces the target until the incarnation ends.
-func (l *life) heartbeats() {
+func (l *incarnation) heartbeats() {
 	if len(l.e.opts.Announce) == 0 {
 		<-l.ctx.Done()
 		return
@@ -126,14 +126,14 @@
 }
 
 // acknowledged returns the newest table version that the target knows.
-func (l *life) acknowledged() uint64 {
+func (l *incarnation) acknowledged() uint64 {
 	l.e.mu.Lock()
 	defer l.e.mu.Unlock()
 	return l.ackVersion
 }
 
 // sendNow ends a heartbeat whose answer is held back and sends the next one at once.
-func (l *life) sendNow() {
+func (l *incarnation) sendNow() {
 	select {
 	case l.urgent <- struct{}{}:
 	default:
@@ -141,7 +141,7 @@
 }
 
 // interruptible returns a context that also ends when a heartbeat becomes urgent.
-func (l *life) interruptible(ctx context.Context) (context.Context, func()) {
+func (l *incarnation) interruptible(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
@@ -158,7 +158,7 @@
 }
 
 // heartbeat asks one host for the lease. It returns the address of another host if that one is to be asked.
-func (l *life) heartbeat(client *http.Client, host netip.AddrPort) (netip.AddrPort, error) {
+func (l *incarnation) heartbeat(client *http.Client, host netip.AddrPort) (netip.AddrPort, error) {
 	announcement := l.announcement()
 	body, err := json.Marshal(announcement)
 	if err != nil {
@@ -210,7 +210,7 @@
 }
 
 // announcement makes the next heartbeat. Slots that it states as released are no longer held from here on.
-func (l *life) announcement() heartbeatWire {
+func (l *incarnation) announcement() heartbeatWire {
 	e := l.e
 	connections := l.ln.count()
 	e.mu.Lock()
@@ -244,7 +244,7 @@
 		hb.Released = append(hb.Released, slot)
 	}
 	slices.Sort(hb.Released)
-	if l.bears(now); l.cold {
+	if l.coldLimit(now); l.cold {
 		hb.State = stateCold
 	}
 	if !e.draining.IsZero() {
@@ -255,7 +255,7 @@
 }
 
 // load returns the newest load that is at least LoadAge old, and its stated age. The caller holds e.mu.
-func (l *life) load(now time.Time) (float64, int64) {
+func (l *incarnation) load(now time.Time) (float64, int64) {
 	o := l.e.opts
 	l.loads = append(l.loads, loadSample{
 		at:   now,
@@ -272,11 +272,11 @@
 }
 
 // accept takes over a host's answer to the heartbeat sent at asked.
-func (l *life) accept(asked time.Time, state string, g grantWire) error {
+func (l *incarnation) accept(asked time.Time, state string, g grantWire) error {
 	e := l.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.life != l {
+	if e.current != l {
 		return errors.New("the incarnation has ended")
 	}
 	if err := l.fence.Accept(fencer.Epoch(g.Fence)); err != nil {
--- a/emulator/options.go
+++ b/emulator/options.go
@@ -50,7 +50,7 @@
 	// not again before the request takes effect.
 	IgnoresEpoch bool
 
-	// Warm skips the cold start of the first incarnation. A cold target bears ColdInFlight requests in progress, and one more for each ColdStep
+	// Warm skips the cold start of the first incarnation. A cold target handles ColdInFlight requests in progress, and one more for each ColdStep
 	// requests that it finished; it is warm after ColdRequests requests or after ColdTime. One request too many makes
 	// it crash. Zero means 1, 20 and 60, the defaults of a service's allowance, and a ColdTime without end.
 	Warm         bool
--- a/emulator/record.go
+++ b/emulator/record.go
@@ -48,9 +48,9 @@
 	Reason string
 	// LeaseUntil is the end of the target's lease as known when the run started.
 	LeaseUntil time.Time
-	// InFlight counts the requests in progress with this one, and Bears how many the target could bear then.
-	InFlight int
-	Bears    int
+	// InFlight counts the requests in progress with this one, and ColdLimit how many the target could handle then.
+	InFlight  int
+	ColdLimit int
 	// DrainingSince is the time since which the target said that it drains, zero if it did not.
 	DrainingSince time.Time
 }
@@ -83,8 +83,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	holdings := slices.Clone(e.past)
-	if e.life != nil {
-		for _, h := range e.life.owned {
+	if e.current != nil {
+		for _, h := range e.current.owned {
 			holdings = append(holdings, *h)
 		}
 	}
@@ -96,7 +96,7 @@
 
 // endHolding moves the holding of slot to the past; it ended at now or when the lease lapsed, whichever was first.
 // The caller holds e.mu.
-func (l *life) endHolding(slot keyer.Slot, now time.Time) {
+func (l *incarnation) endHolding(slot keyer.Slot, now time.Time) {
 	h, ok := l.owned[slot]
 	if !ok {
 		return
--- a/emulator/wire.go
+++ b/emulator/wire.go
@@ -34,7 +34,7 @@
 	Reason        string       `json:"reason"`
 	LeaseUntil    int64        `json:"leaseUntil"`
 	InFlight      int          `json:"inFlight"`
-	Bears         int          `json:"bears"`
+	ColdLimit     int          `json:"coldLimit"`
 	DrainingSince int64        `json:"drainingSince"`
 }
 
@@ -71,7 +71,7 @@
 			Reason:        r.Reason,
 			LeaseUntil:    toNano(r.LeaseUntil),
 			InFlight:      r.InFlight,
-			Bears:         r.Bears,
+			ColdLimit:     r.ColdLimit,
 			DrainingSince: toNano(r.DrainingSince),
 		}
 	}
@@ -122,7 +122,7 @@
 			Reason:        w.Reason,
 			LeaseUntil:    fromNano(w.LeaseUntil),
 			InFlight:      w.InFlight,
-			Bears:         w.Bears,
+			ColdLimit:     w.ColdLimit,
 			DrainingSince: fromNano(w.DrainingSince),
 		}
 	}
