Refuse the takeout of the last data centre in the state machine

Cause: the check ran on the host that was asked, so two operators who took out the last two data centres at the same time could both succeed.

Change: the command names the other data centres, and is refused if all of them are out already; a forced takeout names none.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -122,6 +122,9 @@
 		return refuse("name either a data centre or a target")
 	case m.DataCentre != "":
 		dc := s.dataCentre(m.DataCentre)
+		if m.Out && !dc.Out && s.allOut(m.Others) {
+			return refuse("data centre %s is the last one in service", m.DataCentre)
+		}
 		if dc.Out != m.Out {
 			dc.Out, dc.Changed = m.Out, change
 		}
@@ -137,6 +140,11 @@
 	return Result{}
 }
 
+// allOut reports whether operators have taken out all of the named data centres. It is false for an empty list.
+func (s *State) allOut(names []string) bool {
+	return len(names) > 0 && !slices.ContainsFunc(names, func(name string) bool { return !s.DataCentres[name].Out })
+}
+
 func (s *State) nameAuthority(m *NameAuthorityMsg) Result {
 	if s.Index>>32 != 0 {
 		return refuse("log index %d does not fit into an epoch", s.Index)
--- a/applier/codec.go
+++ b/applier/codec.go
@@ -81,6 +81,7 @@
 			Out:        m.Out,
 			Operator:   m.Operator,
 			At:         timeToWire(m.At),
+			Others:     m.Others,
 		}
 	case cmd.ChangeVoters != nil:
 		w.ChangeVoters = &changeVotersWire{
@@ -160,6 +161,7 @@
 			Out:        w.SetService.Out,
 			Operator:   w.SetService.Operator,
 			At:         timeFromWire(w.SetService.At),
+			Others:     w.SetService.Others,
 		}
 	case w.ChangeVoters != nil:
 		cmd.ChangeVoters = &ChangeVotersMsg{
--- a/applier/command.go
+++ b/applier/command.go
@@ -53,6 +53,9 @@
 	Out        bool
 	Operator   string
 	At         time.Time
+	// Others are the other data centres of the deployment. A takeout is refused if all of them are out already, because
+	// two operators may take out the last two at the same time. Empty means that the takeout is forced.
+	Others []string
 }
 
 // ChangeVotersMsg records the members of the control group, as the replicator committed them.
--- a/applier/wire.go
+++ b/applier/wire.go
@@ -35,11 +35,12 @@
 }
 
 type setServiceWire struct {
-	DataCentre string `cbor:"1,keyasint,omitempty"`
-	Target     string `cbor:"2,keyasint,omitempty"`
-	Out        bool   `cbor:"3,keyasint,omitempty"`
-	Operator   string `cbor:"4,keyasint,omitempty"`
-	At         int64  `cbor:"5,keyasint,omitempty"`
+	DataCentre string   `cbor:"1,keyasint,omitempty"`
+	Target     string   `cbor:"2,keyasint,omitempty"`
+	Out        bool     `cbor:"3,keyasint,omitempty"`
+	Operator   string   `cbor:"4,keyasint,omitempty"`
+	At         int64    `cbor:"5,keyasint,omitempty"`
+	Others     []string `cbor:"6,keyasint,omitempty"`
 }
 
 type changeVotersWire struct {
--- a/operator/service.go
+++ b/operator/service.go
@@ -57,6 +57,7 @@
 			Out:        req.Out,
 			Operator:   req.Operator,
 			At:         o.now().UTC(),
+			Others:     o.others(st, req),
 		},
 	})
 	o.catchUp(ctx, res.Index)
@@ -73,6 +74,16 @@
 	return o.changed(req, res)
 }
 
+// others returns the data centres of which one must stay in service; none if the change is forced or no takeout of a
+// data centre.
+func (o *Operator) others(st *applier.State, req *presenter.SetService) []string {
+	cfg := o.configOf(st)
+	if cfg == nil || req.DataCentre == "" || !req.Out || req.Force {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(cfg.DataCentres), func(name string) bool { return name == req.DataCentre })
+}
+
 // find returns who last changed the data centre or target, whether it is out, and why it cannot be changed.
 func (o *Operator) find(ctx context.Context, st *applier.State, req *presenter.SetService) (
 	change applier.ServiceChange, out bool, reason string,
