Share the hold bound, the TLS dialer and the environment prefix

Cause: a read of the whole change found three pieces written twice. The bound of a hold matters for safety: an authority that is cut off and the control leader that waits for it computed it in two functions that could drift apart.

Change: configurer.Config.HoldBound serves both; Certifier.DialThrough serves hosts that dial through a translation; commander.EnvironmentPrefix serves all commands. Behaviour is unchanged.

Conclusion: each piece stands once.

--- a/certifier/certifier.go
+++ b/certifier/certifier.go
@@ -105,18 +105,27 @@
 	}
 }
 
+// DialFunc opens a connection, as net.Dialer does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Dial connects to addr, which is IP:PORT, and finishes the handshake before ctx ends. A nil Certifier connects without
 // TLS. It fits Messenger.Dial and http.Transport.DialTLSContext.
 func (c *Certifier) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := net.Dialer{}
+	return c.DialThrough(ctx, d.DialContext, network, addr)
+}
+
+// DialThrough is Dial over a connection that dial makes. The certificate is that of addr, whatever address dial
+// connects to.
+func (c *Certifier) DialThrough(ctx context.Context, dial DialFunc, network, addr string) (net.Conn, error) {
 	if c == nil {
-		return d.DialContext(ctx, network, addr)
+		return dial(ctx, network, addr)
 	}
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "address of a host")
 	}
-	conn, err := d.DialContext(ctx, network, addr)
+	conn, err := dial(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -25,8 +25,8 @@
 	exitUsage   = 2
 )
 
-// environmentPrefix precedes the name of a flag in the environment, as in BRAMLEYLINE_FOR.
-const environmentPrefix = "BRAMLEYLINE"
+// EnvironmentPrefix precedes the name of a flag in the environment, as in BRAMLEYLINE_FOR.
+const EnvironmentPrefix = "BRAMLEYLINE"
 
 var (
 	// ErrUsage reports a command line that cannot be understood.
@@ -150,6 +150,6 @@
 
 func options() []ff.Option {
 	return []ff.Option{
-		ff.WithEnvVarPrefix(environmentPrefix),
+		ff.WithEnvVarPrefix(EnvironmentPrefix),
 	}
 }
--- a/configurer/config.go
+++ b/configurer/config.go
@@ -29,6 +29,18 @@
 	return nil, false
 }
 
+// HoldBound returns the greatest cutOffHold of the keyed services. An authority that is cut off and the control leader
+// that waits for it have to use the same bound.
+func (c *Config) HoldBound() time.Duration {
+	var bound time.Duration
+	for i := range c.Services {
+		if svc := &c.Services[i]; svc.Keyed {
+			bound = max(bound, svc.Ownership.CutOffHold)
+		}
+	}
+	return bound
+}
+
 // Timing holds the lengths of leases and the intervals of control messages.
 type Timing struct {
 	// Heartbeat is the interval at which targets and hosts ask for their leases.
--- a/delegator/authority.go
+++ b/delegator/authority.go
@@ -53,7 +53,7 @@
 	if h, ok := d.hosts[dc.Authority]; ok && h.host.Incarnation > dc.AuthorityIncarnation {
 		ended = true
 	}
-	hold := holdBound(cfg)
+	hold := cfg.HoldBound()
 	if ended || !now.Before(c.at.Add(hold+leaser.DefaultMargin(hold)+slack(cfg))) {
 		return d.candidate(now, st, dc.Name, "", func(*contact) bool { return true })
 	}
@@ -72,17 +72,6 @@
 	return ""
 }
 
-// holdBound returns the greatest cutOffHold of the keyed services.
-func holdBound(cfg *configurer.Config) time.Duration {
-	var bound time.Duration
-	for i := range cfg.Services {
-		if svc := &cfg.Services[i]; svc.Keyed {
-			bound = max(bound, svc.Ownership.CutOffHold)
-		}
-	}
-	return bound
-}
-
 // slack covers the leases that an authority grants at the very end of its hold.
 func slack(cfg *configurer.Config) time.Duration {
 	lease := cfg.Timing.DispatchLease
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -107,7 +107,7 @@
 }
 
 func (d *deployment) settings(name, dc string, control bool) settler.Settings {
-	any := netip.MustParseAddrPort("127.0.0.1:0")
+	free := netip.MustParseAddrPort("127.0.0.1:0")
 	s := settler.Settings{
 		Name:       name,
 		DataCentre: dc,
@@ -118,11 +118,11 @@
 		LogLevel:  "error",
 		LogFormat: "text",
 		Listen: settler.Listen{
-			Caller:   any,
-			Peer:     any,
-			RPC:      any,
-			Announce: any,
-			Operator: any,
+			Caller:   free,
+			Peer:     free,
+			RPC:      free,
+			Announce: free,
+			Operator: free,
 		},
 		Keys: settler.Keys{
 			System:   systemKey,
--- a/demonstrator/table.go
+++ b/demonstrator/table.go
@@ -11,7 +11,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
-	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/loader"
 )
 
@@ -78,8 +77,7 @@
 		return nil
 	}
 	var owners []string
-	for i := range st.Slots["tally"].Len() {
-		e, _ := st.Slots["tally"].Entry(slot(i))
+	for _, e := range st.Slots["tally"].All() {
 		owners = append(owners, e.Target)
 	}
 	return owners
@@ -141,7 +139,3 @@
 	}
 	return len(owners) > 0
 }
-
-func slot(i int) keyer.Slot {
-	return keyer.Slot(i)
-}
--- a/granter/isolation.go
+++ b/granter/isolation.go
@@ -23,7 +23,7 @@
 
 // isolated reports whether this authority may go on without the control leader.
 func (g *Granter) isolated() bool {
-	if g.contact.IsZero() || !g.now.Before(g.contact.Add(g.holdBound())) {
+	if g.contact.IsZero() || !g.now.Before(g.contact.Add(g.config.HoldBound())) {
 		return false
 	}
 	for name := range g.inSync() {
@@ -34,17 +34,6 @@
 	return true
 }
 
-// holdBound returns the greatest cutOffHold of the keyed services.
-func (g *Granter) holdBound() time.Duration {
-	var bound time.Duration
-	for i := range g.config.Services {
-		if svc := &g.config.Services[i]; svc.Keyed {
-			bound = max(bound, svc.Ownership.CutOffHold)
-		}
-	}
-	return bound
-}
-
 // inSync returns the other hosts that the control leader may name as authority: those of the committed in-sync set and
 // of a set that is on its way to the log.
 func (g *Granter) inSync() map[string]uint64 {
@@ -60,7 +49,7 @@
 
 // askPromises asks each host of the in-sync set for a promise when the control leader is out of reach.
 func (g *Granter) askPromises() {
-	if g.lease.Valid(g.now) || g.contact.IsZero() || !g.now.Before(g.contact.Add(g.holdBound())) {
+	if g.lease.Valid(g.now) || g.contact.IsZero() || !g.now.Before(g.contact.Add(g.config.HoldBound())) {
 		return
 	}
 	set := g.inSync()
@@ -77,7 +66,7 @@
 			DataCentre:     g.DataCentre,
 			AuthorityIndex: g.index,
 			Asked:          g.now,
-			Hold:           g.holdBound(),
+			Hold:           g.config.HoldBound(),
 		})
 	}
 	g.endHolds()
--- a/measure.go
+++ b/measure.go
@@ -14,8 +14,6 @@
 	"bramleyline.example/bramleyline/experimenter"
 )
 
-const environmentPrefix = "BRAMLEYLINE"
-
 // measure runs one scenario of the experiment tool.
 func measure(ctx context.Context, args []string) error {
 	fs := flag.NewFlagSet("bramleyline measure", flag.ContinueOnError)
@@ -50,7 +48,7 @@
 
 // parse reads flags and the environment, and refuses arguments that are no flags.
 func parse(fs *flag.FlagSet, args []string) error {
-	err := ff.Parse(fs, args, ff.WithEnvVarPrefix(environmentPrefix))
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix(commander.EnvironmentPrefix))
 	switch {
 	case errors.Is(err, flag.ErrHelp):
 		return err
--- a/notifier/event.go
+++ b/notifier/event.go
@@ -14,7 +14,6 @@
 	ConfigurationInForce Kind = "configurationInForce"
 	AuthorityChanged     Kind = "authorityChanged"
 	ReadinessChanged     Kind = "readinessChanged"
-	ServiceChanged       Kind = "serviceChanged"
 	LeaderChanged        Kind = "leaderChanged"
 )
 
--- a/server/options.go
+++ b/server/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"net/netip"
@@ -75,27 +74,10 @@
 	}), nil
 }
 
-// dialHost connects to the rpc address of another host, with TLS if the settings name certificates. The certificate is
-// that of the announced address, whatever translation leads to it.
+// dialHost connects to the rpc address of another host, with TLS if the settings name certificates.
 func (s *Server) dialHost(ctx context.Context, network, addr string) (net.Conn, error) {
-	dial := s.dial
-	if dial == nil {
-		var d net.Dialer
-		dial = d.DialContext
+	if s.dial == nil {
+		return s.certifier.Dial(ctx, network, addr)
 	}
-	conn, err := dial(ctx, network, addr)
-	if err != nil || s.certifier == nil {
-		return conn, err
-	}
-	announced, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrap(err, "dial")
-	}
-	secure := tls.Client(conn, s.certifier.Client(announced.Addr()))
-	if err := secure.HandshakeContext(ctx); err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrapf(err, "TLS with %s", addr)
-	}
-	return secure, nil
+	return s.certifier.DialThrough(ctx, s.dial, network, addr)
 }
--- a/server/parts.go
+++ b/server/parts.go
@@ -77,7 +77,7 @@
 	return c.Start()
 }
 
-// sources lists the control hosts in the order of the settings' names.
+// sources lists the control hosts in the random order of a map, which spreads hosts without a log over them.
 func (s *Server) sources() []follower.Source {
 	var sources []follower.Source
 	for name, addr := range s.settings.Voters {
