Let a host that never started be stopped

Cause: Stop used parts that only Start makes, so the demo would have panicked instead of reporting why one of its hosts could not start; seen while reading.

Change: Stop and Kill of such a host only close its listeners.

--- a/server/stop.go
+++ b/server/stop.go
@@ -10,9 +10,14 @@
 // Stop stops the host gracefully. Readiness goes off first; the host goes on accepting for as long as the balancer
 // needs to see that, then closes its listeners, waits for the requests in progress, and stops the other parts last.
 //
-// It returns an error if requests were still in progress when ctx or the configured wait ended.
+// A host that was not started, or whose start failed, only closes its listeners. Stop returns an error if requests were
+// still in progress when ctx or the configured wait ended.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	if s.cancel == nil {
+		s.listeners.close()
+		return nil
+	}
 	s.router.Leave()
 	s.participant.Leave()
 	timing := s.timing()
@@ -40,6 +45,10 @@
 // Kill ends the host at once, as a lost process does: nothing is drained and no other host is told.
 func (s *Server) Kill() {
 	s.stopping.Store(true)
+	if s.cancel == nil {
+		s.listeners.close()
+		return
+	}
 	for _, l := range []*httpListener{s.caller, s.peer} {
 		if l != nil {
 			l.kill()
--- /dev/null
+++ b/server/stop_test.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/settler"
+)
+
+// A program that opens several hosts stops all of them when one cannot start; a host that never ran must not panic then,
+// and must give its addresses back.
+func TestStopBeforeStart(t *testing.T) {
+	c := qt.New(t)
+	s, err := New(settler.Settings{
+		Name: "north-1",
+		Listen: settler.Listen{
+			RPC: netip.MustParseAddrPort("127.0.0.1:0"),
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	addr := s.Listen().RPC
+	c.Assert(s.Stop(context.Background()), qt.IsNil)
+	s.Kill()
+	ln, err := net.Listen("tcp", addr.String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(ln.Close(), qt.IsNil)
+}
