Measure leases on a clock that counts suspensions

Cause: Go's monotonic clock stands still while a machine is suspended, so a lease of the control leader or of a dispatching host seemed valid after it.

Change: timekeeper.Now reads CLOCK_BOOTTIME; controller, follower, participant and the lease check of the dispatcher use it. The replicator also tells how current a member is (Current: has everything that was committed) apart from its contact with the leader, shows the leader's view of its peers, and takes a member with a name that was never used without a recovery. The follower prefers control hosts of its own data centre.

Ruled out: a stale connection to the operator; the trace shows one process.

Conclusion: contact alone does not say that a state is current.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -16,6 +16,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/journaler"
 	"bramleyline.example/bramleyline/replicator"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 var (
@@ -51,6 +52,8 @@
 	lead    atomic.Pointer[replicator.Lead]
 	contact atomic.Pointer[leaderContact]
 	members atomic.Pointer[[]journaler.Member]
+	peerAt  time.Time
+	peersOf atomic.Pointer[[]replicator.Peer]
 	// recovering is shown while the host does not vote because its disk was empty.
 	recovering atomic.Bool
 
@@ -67,8 +70,9 @@
 }
 
 type leaderContact struct {
-	leader string
-	at     time.Time
+	leader  string
+	at      time.Time
+	current time.Time
 }
 
 // New opens the data folder and returns a controller that has not started yet. The first start of a host uses the
@@ -105,11 +109,12 @@
 			return nil, errors.Wrapf(err, "snapshot %d", rec.Snapshot.Index)
 		}
 	}
-	core, err := replicator.New(time.Now(), replicator.Options{
+	core, err := replicator.New(timekeeper.Now(), replicator.Options{
 		Name:            s.name,
 		Members:         s.firstMembers(),
 		ElectionTimeout: s.timing.ElectionTimeout,
 		Seed:            s.seed,
+		Unique:          s.unique,
 	}, rec)
 	if err != nil {
 		return nil, errors.Wrapf(err, "log of %s", s.name)
@@ -134,7 +139,7 @@
 	if rec.TornBytes > 0 {
 		c.log.Warn("cut off an incomplete write at the end of the log", "bytes", rec.TornBytes)
 	}
-	c.publish(time.Now())
+	c.publish(timekeeper.Now())
 	return &c, nil
 }
 
@@ -172,7 +177,12 @@
 // contact. The name is empty if no leader is known.
 func (c *Controller) Contact() (leader string, age time.Duration) {
 	l := c.contact.Load()
-	return l.leader, time.Since(l.at)
+	return l.leader, timekeeper.Since(l.at)
+}
+
+// Lag returns how long ago State is known to have had everything that was committed.
+func (c *Controller) Lag() time.Duration {
+	return timekeeper.Since(c.contact.Load().current)
 }
 
 // Members returns the member list in force at this host.
@@ -180,6 +190,14 @@
 	return *c.members.Load()
 }
 
+// Peers returns what the leader knows of the other members, at most peerInterval old; nil on another host.
+func (c *Controller) Peers() []replicator.Peer {
+	if p := c.peersOf.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
 // Recovering reports whether this host started with an empty disk and does not count as a voter yet.
 func (c *Controller) Recovering() bool {
 	return c.recovering.Load()
--- a/controller/fault_test.go
+++ b/controller/fault_test.go
@@ -16,6 +16,7 @@
 	"bramleyline.example/bramleyline/faulter"
 	"bramleyline.example/bramleyline/journaler"
 	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 func alone(c *qt.C, options ...controller.Option) (*controller.Controller, error) {
@@ -54,7 +55,7 @@
 		}
 		<-a.Done()
 		c.Assert(errors.Is(a.Err(), journaler.ErrFailed), qt.IsTrue, qt.Commentf("%v", a.Err()))
-		_, ok := a.Leading(time.Now())
+		_, ok := a.Leading(timekeeper.Now())
 		c.Assert(ok, qt.IsFalse)
 		c.Assert(errors.Is(a.Close(), journaler.ErrFailed), qt.IsTrue)
 
@@ -63,7 +64,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(a.Start(), qt.IsNil)
 		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			if _, ok := a.Leading(time.Now()); ok {
+			if _, ok := a.Leading(timekeeper.Now()); ok {
 				break
 			}
 		}
--- a/controller/group_test.go
+++ b/controller/group_test.go
@@ -18,6 +18,7 @@
 	"bramleyline.example/bramleyline/follower"
 	"bramleyline.example/bramleyline/messenger"
 	"bramleyline.example/bramleyline/proposer"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 func TestMain(m *testing.M) {
@@ -115,7 +116,7 @@
 	name := ""
 	g.eventually("a leader", func() bool {
 		for n, h := range g.hosts {
-			if _, ok := h.Leading(time.Now()); ok {
+			if _, ok := h.Leading(timekeeper.Now()); ok {
 				name = n
 				return true
 			}
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -8,6 +8,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/journaler"
 	"bramleyline.example/bramleyline/replicator"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 const (
@@ -17,6 +18,8 @@
 	snapshotBytes = 16 << 20
 	// maxBatch is the number of messages and proposals that are made durable together.
 	maxBatch = 512
+	// peerInterval is the age of what Peers returns.
+	peerInterval = 100 * time.Millisecond
 )
 
 func (c *Controller) run() {
@@ -29,7 +32,7 @@
 			c.finish(nil)
 			return
 		case m := <-c.inbox:
-			c.core.Step(time.Now(), m)
+			c.core.Step(timekeeper.Now(), m)
 		case r := <-c.requests:
 			c.take(r)
 		case s := <-c.snapshots:
@@ -38,7 +41,7 @@
 		}
 		if err == nil {
 			c.drain()
-			c.core.Tick(time.Now())
+			c.core.Tick(timekeeper.Now())
 			err = c.carryOut()
 		}
 	}
@@ -50,7 +53,7 @@
 // drain takes what else has arrived, so that it is made durable with one sync.
 func (c *Controller) drain() {
 	var commands []request
-	now := time.Now()
+	now := timekeeper.Now()
 	for range maxBatch {
 		select {
 		case m := <-c.inbox:
@@ -77,13 +80,13 @@
 func (c *Controller) carryOut() error {
 	for {
 		e := c.core.Effects()
-		if _, ok := c.core.Leading(time.Now()); !ok {
+		if _, ok := c.core.Leading(timekeeper.Now()); !ok {
 			// A leadership that ended is withdrawn before a vote for another member leaves this host.
 			c.lead.Store(nil)
 		}
 		if e.Empty() {
 			// A leadership that began is shown only after all committed commands were applied.
-			c.publish(time.Now())
+			c.publish(timekeeper.Now())
 			if c.core.Leader() != c.settings.name {
 				c.abandon()
 			}
@@ -107,7 +110,7 @@
 		if err := c.apply(e.Committed); err != nil {
 			return err
 		}
-		c.core.Saved(time.Now(), e)
+		c.core.Saved(timekeeper.Now(), e)
 	}
 }
 
@@ -179,11 +182,17 @@
 		c.lead.Store(nil)
 	}
 	c.contact.Store(&leaderContact{
-		leader: c.core.Leader(),
-		at:     c.core.Contact(now),
+		leader:  c.core.Leader(),
+		at:      c.core.Contact(now),
+		current: c.core.Current(now),
 	})
 	members := c.core.Members()
 	c.members.Store(&members)
+	if now.Sub(c.peerAt) >= peerInterval {
+		peers := c.core.Peers(now)
+		c.peerAt = now
+		c.peersOf.Store(&peers)
+	}
 	if recovering := c.core.Recovering(); c.recovering.Swap(recovering) != recovering {
 		c.log.Info("recovery of an empty data folder", "host", c.settings.name, "recovering", recovering)
 	}
--- a/controller/options.go
+++ b/controller/options.go
@@ -24,6 +24,7 @@
 	seed          uint64
 	logger        *log.Logger
 	snapshotEvery uint64
+	unique        bool
 }
 
 // Option is a setting of a Controller.
@@ -83,6 +84,11 @@
 	return func(s *settings) { s.snapshotEvery = entries }
 }
 
+// WithUniqueName says that the name was never used with another data folder.
+func WithUniqueName() Option {
+	return func(s *settings) { s.unique = true }
+}
+
 func defaultSettings() settings {
 	return settings{
 		timing:        configurer.DefaultTiming(),
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -10,6 +10,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/journaler"
 	"bramleyline.example/bramleyline/replicator"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // request asks the update loop to append a command or to change the member list.
@@ -57,7 +58,7 @@
 		c.proposeAll([]request{r})
 		return
 	}
-	index, err := r.change(time.Now())
+	index, err := r.change(timekeeper.Now())
 	if errors.Is(err, replicator.ErrNotLeader) {
 		err = c.notLeader()
 	}
@@ -81,7 +82,7 @@
 	for _, r := range requests {
 		commands = append(commands, r.command)
 	}
-	first, term, err := c.core.Propose(time.Now(), commands)
+	first, term, err := c.core.Propose(timekeeper.Now(), commands)
 	for i, r := range requests {
 		if err != nil {
 			r.outcome <- outcome{
--- a/controller/service.go
+++ b/controller/service.go
@@ -9,6 +9,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/messenger"
 	"bramleyline.example/bramleyline/replicator"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 const (
@@ -88,7 +89,7 @@
 
 // Pull returns what is new since the caller's state.
 func (s *stateService) Pull(args *PullArgs, reply *PullReply) error {
-	started := time.Now()
+	started := timekeeper.Now()
 	if wait := min(args.Wait, maxPullWait); wait > 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		s.c.feed.wait(ctx, args.Since)
@@ -109,7 +110,7 @@
 		reply.Index = reply.SnapshotIndex
 	}
 	reply.Leader, reply.ContactAge = s.c.Contact()
-	reply.Waited = time.Since(started)
+	reply.Waited = timekeeper.Since(started)
 	return nil
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 var (
@@ -157,7 +158,7 @@
 func (d *Dispatcher) check(j *Job) *sender.Fault {
 	now := time.Now()
 	route := d.resolve(j)
-	if !Admissible(route, now) {
+	if !Admissible(route, timekeeper.Now()) {
 		return sender.Refused(sender.ReasonStaleRoute, "this host may not send to the target")
 	}
 	if route != j.Route && (route.Target != j.Route.Target || route.Incarnation != j.Route.Incarnation || route.Epoch != j.Route.Epoch) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 const (
@@ -28,6 +29,8 @@
 	retryWait = 50 * time.Millisecond
 	// staleContact is the age of a source's contact with the leader from which another source is tried.
 	staleContact = time.Second
+	// avoidTime is how long a source that stopped answering is not preferred for being near.
+	avoidTime = 3 * time.Second
 )
 
 var counters = expvar.NewMap("follower")
@@ -43,6 +46,10 @@
 	messenger *messenger.Messenger
 	sources   []Source
 	log       *log.Logger
+	// dataCentre is where control hosts are preferred, empty for no preference; wait is how long a source may hold an
+	// answer back.
+	dataCentre string
+	wait       time.Duration
 
 	mu      sync.Mutex
 	state   *applier.State
@@ -50,22 +57,44 @@
 	leader  string
 	contact time.Time
 
+	// source is where the state comes from; avoid is the source that was lost last.
+	source     netip.AddrPort
+	avoid      netip.AddrPort
+	avoidUntil time.Time
+
 	ctx       context.Context
 	cancel    context.CancelFunc
 	startOnce sync.Once
 	done      chan struct{}
 }
 
+// Option is a setting of a Follower.
+type Option func(*Follower)
+
+// WithDataCentre prefers control hosts of a data centre as sources.
+func WithDataCentre(name string) Option {
+	return func(f *Follower) { f.dataCentre = name }
+}
+
+// WithWait sets how long a source may hold an answer back while nothing is new; the default is 100 ms.
+func WithWait(d time.Duration) Option {
+	return func(f *Follower) { f.wait = d }
+}
+
 // New returns a follower that pulls from sources, the nearest first. l may be nil.
-func New(m *messenger.Messenger, sources []Source, l *log.Logger) *Follower {
+func New(m *messenger.Messenger, sources []Source, l *log.Logger, options ...Option) *Follower {
 	f := Follower{
 		messenger: m,
 		sources:   sources,
 		log:       l,
+		wait:      pullWait,
 		state:     &applier.State{},
 		notify:    make(chan struct{}),
 		done:      make(chan struct{}),
 	}
+	for _, o := range options {
+		o(&f)
+	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return &f
 }
@@ -75,6 +104,13 @@
 	f.startOnce.Do(func() { go f.run() })
 }
 
+// Configure replaces the configured sources, after the settings have changed.
+func (f *Follower) Configure(sources []Source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources = sources
+}
+
 // State returns the newest state, which is immutable. It is empty until the first answer.
 func (f *Follower) State() *applier.State {
 	f.mu.Lock()
@@ -95,7 +131,7 @@
 func (f *Follower) Contact() (leader string, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader, time.Since(f.contact)
+	return f.leader, timekeeper.Since(f.contact)
 }
 
 // Done is closed when the follower has stopped.
@@ -118,6 +154,11 @@
 			for f.ctx.Err() == nil {
 				if err := f.pull(s); err != nil {
 					counters.Add("failedPulls", 1)
+					f.lost(s, err)
+					break
+				}
+				f.regained(s)
+				if f.nearer(s) {
 					break
 				}
 			}
@@ -129,14 +170,61 @@
 	}
 }
 
-// candidates returns the configured sources, and then the control hosts of the state that are not among them: after
-// replacements none of the configured ones may be left.
+// lost logs that the source in use no longer answers.
+func (f *Follower) lost(s Source, err error) {
+	if f.source == s.Addr && f.log != nil {
+		f.log.Warn("lost the source of state", "source", s.Addr, "index", f.State().Index, "err", err)
+	}
+	if f.source == s.Addr {
+		f.source = netip.AddrPort{}
+		f.avoid, f.avoidUntil = s.Addr, timekeeper.Now().Add(avoidTime)
+	}
+}
+
+func (f *Follower) regained(s Source) {
+	if f.source != s.Addr && f.log != nil {
+		f.log.Info("state comes from", "source", s.Addr, "index", f.State().Index)
+	}
+	f.source = s.Addr
+}
+
+// nearer reports whether there is a source in the preferred data centre and s is not one.
+func (f *Follower) nearer(s Source) bool {
+	if f.dataCentre == "" {
+		return false
+	}
+	near := f.near()
+	return len(near) > 0 && !slices.ContainsFunc(near, func(n Source) bool { return n.Addr == s.Addr })
+}
+
+// near returns the control hosts in the preferred data centre, without one that failed lately.
+func (f *Follower) near() []Source {
+	st := f.State()
+	var sources []Source
+	for _, name := range append(slices.Clone(st.Voters), st.Learners...) {
+		h := st.Hosts[name]
+		failed := h.RPC == f.avoid && timekeeper.Now().Before(f.avoidUntil)
+		if f.dataCentre != "" && h.DataCentre == f.dataCentre && h.RPC.IsValid() && !failed {
+			sources = append(sources, Source{
+				Name: name,
+				Addr: h.RPC,
+			})
+		}
+	}
+	return sources
+}
+
+// candidates returns the control hosts of the preferred data centre, the configured sources, and then the control hosts
+// of the state that are not among them: after replacements none of the configured ones may be left.
 func (f *Follower) candidates() []Source {
-	sources := slices.Clone(f.sources)
+	f.mu.Lock()
+	configured := f.sources
+	f.mu.Unlock()
+	sources := append(f.near(), configured...)
 	hosts := f.State().Hosts
 	for _, name := range slices.Sorted(maps.Keys(hosts)) {
 		h := hosts[name]
-		known := slices.ContainsFunc(f.sources, func(s Source) bool { return s.Name == name && s.Addr == h.RPC })
+		known := slices.ContainsFunc(configured, func(s Source) bool { return s.Name == name && s.Addr == h.RPC })
 		if h.Control && h.RPC.IsValid() && !known {
 			sources = append(sources, Source{
 				Name: name,
@@ -150,13 +238,13 @@
 // pull makes one call. Its error says that another source should be tried.
 func (f *Follower) pull(s Source) error {
 	old := f.State()
-	ctx, cancel := context.WithTimeout(f.ctx, pullWait+pullTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, f.wait+pullTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := timekeeper.Now()
 	var reply controller.PullReply
 	if err := f.messenger.Call(ctx, s.Addr, "State.Pull", &controller.PullArgs{
 		Since: old.Index,
-		Wait:  pullWait,
+		Wait:  f.wait,
 	}, &reply); err != nil {
 		return err
 	}
--- a/participant/fake_test.go
+++ b/participant/fake_test.go
@@ -21,6 +21,7 @@
 	"bramleyline.example/bramleyline/fencer"
 	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // machine is a state machine that commits at once.
@@ -101,7 +102,7 @@
 		Config: func() *configurer.Config { return cfg },
 	}
 	if leader {
-		since := time.Now()
+		since := timekeeper.Now()
 		o.Leading = func(time.Time) (time.Time, bool) { return since, true }
 		voters[name] = rpc
 	}
--- a/participant/participant.go
+++ b/participant/participant.go
@@ -20,6 +20,7 @@
 	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/messenger"
 	"bramleyline.example/bramleyline/reporter"
+	"bramleyline.example/bramleyline/timekeeper"
 	"bramleyline.example/bramleyline/tracker"
 )
 
@@ -156,14 +157,14 @@
 		case <-p.ctx.Done():
 			return
 		case f := <-p.inbox:
-			f(time.Now())
+			f(timekeeper.Now())
 		case <-changed:
 			changed = p.options.Source.Changed()
-			p.tick(time.Now())
+			p.tick(timekeeper.Now())
 		case <-p.wake:
-			p.tick(time.Now())
+			p.tick(timekeeper.Now())
 		case <-ticker.C:
-			p.tick(time.Now())
+			p.tick(timekeeper.Now())
 		}
 	}
 }
--- a/participant/transport.go
+++ b/participant/transport.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // transport carries calls to other processes. It returns at once and passes the result to done in the loop; asked is a
@@ -22,7 +23,7 @@
 
 func (r remote) call(limit time.Duration, addr netip.AddrPort, method string, args, reply any, done func(now, asked time.Time, err error)) {
 	r.start(limit, func(ctx context.Context) func(time.Time) {
-		asked := time.Now()
+		asked := timekeeper.Now()
 		err := r.p.options.Messenger.Call(ctx, addr, method, args, reply)
 		return func(now time.Time) { done(now, asked, err) }
 	})
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -1,11 +1,13 @@
 package replicator
 
 import (
+	"time"
+
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/journaler"
 )
 
-func (r *Replicator) takeAppend(m Message) {
+func (r *Replicator) takeAppend(now time.Time, m Message) {
 	a := m.Append
 	answer := AppendAnswerMsg{
 		Round: a.Round,
@@ -14,6 +16,9 @@
 		answer.Match = match
 		r.commitTo(max(r.commit, min(a.Commit, match)))
 		r.finishRecovery(a, match)
+		if at := now.Add(-a.MajorityAge); a.Committed <= r.commit && at.After(r.current) {
+			r.current = at
+		}
 	} else {
 		answer.Rejected = true
 		answer.Hint = r.hint(a)
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -118,6 +119,7 @@
 			PrevTerm:    prevTerm,
 			Entries:     entries,
 			Commit:      r.commit,
+			Committed:   r.committed(),
 			MajorityAge: r.majorityAge(now),
 			RecoverTo:   r.recoverTo(now, p),
 			Recovery:    p.recovery,
@@ -141,6 +143,7 @@
 			PrevIndex:   prev,
 			PrevTerm:    prevTerm,
 			Commit:      min(r.commit, prev),
+			Committed:   r.committed(),
 			MajorityAge: r.majorityAge(now),
 			RecoverTo:   r.recoverTo(now, p),
 			Recovery:    p.recovery,
@@ -257,6 +260,17 @@
 	}
 }
 
+// unknownCommit stands for a commit index that the leader does not know yet.
+const unknownCommit = math.MaxUint64
+
+// committed returns the commit index of the leader, unknownCommit if an earlier leader may have committed more.
+func (r *Replicator) committed() uint64 {
+	if r.commit < r.firstIndex {
+		return unknownCommit
+	}
+	return r.commit
+}
+
 func (r *Replicator) commitTo(index uint64) {
 	if asserter.Check(index <= r.log.last(), asserter.DurableAssignment, "commit %d beyond log end %d", index, r.log.last()) {
 		r.commit = max(r.commit, index)
--- a/replicator/lease.go
+++ b/replicator/lease.go
@@ -47,6 +47,18 @@
 	return r.contact
 }
 
+// Current returns the latest time up to which this member is known to have every entry that was committed. After a
+// partition or a restart it stays behind Contact until the member has caught up.
+func (r *Replicator) Current(now time.Time) time.Time {
+	if r.role != leader {
+		return r.current
+	}
+	if r.commit < r.firstIndex {
+		return time.Time{}
+	}
+	return r.majorityContact(now)
+}
+
 // leaseLength is what is left of the election timeout when the drift margin of the lease is taken off: voters refuse
 // another candidate for the whole election timeout after they heard the leader.
 func leaseLength(electionTimeout time.Duration) time.Duration {
--- a/replicator/members.go
+++ b/replicator/members.go
@@ -106,6 +106,35 @@
 	return slices.Clone(r.members.current())
 }
 
+// Peer is what the leader knows of another member.
+type Peer struct {
+	journaler.Member
+	// Silence is the time since a message was sent that the member answered.
+	Silence time.Duration
+	// CaughtUp says that the member has all committed entries.
+	CaughtUp bool
+}
+
+// Peers returns what the leader knows of the other members, nil on another member.
+func (r *Replicator) Peers(now time.Time) []Peer {
+	if r.role != leader {
+		return nil
+	}
+	var peers []Peer
+	for _, m := range r.members.current() {
+		p, ok := r.progress[m.Name]
+		if !ok {
+			continue
+		}
+		peers = append(peers, Peer{
+			Member:   m,
+			Silence:  r.since(now) - p.acked,
+			CaughtUp: p.answered && p.match >= r.commit && p.recovery == 0,
+		})
+	}
+	return peers
+}
+
 // AddLearner adds a member that receives the log and does not vote. It returns the index of the change. Its errors are
 // ErrNotLeader, ErrChangePending and ErrBadChange.
 func (r *Replicator) AddLearner(now time.Time, m journaler.Member) (uint64, error) {
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -53,6 +53,9 @@
 	PrevTerm  uint64
 	Entries   []journaler.Entry
 	Commit    uint64
+	// Committed is the index up to which the leader has committed, which Commit does not tell where the member lacks
+	// entries. It is unknownCommit while the leader has not committed an entry of its term.
+	Committed uint64
 	// MajorityAge is the time since the leader last had contact with a majority.
 	MajorityAge time.Duration
 	// RecoverTo is the index from which the member whose AppendAnswerMsg had Recovery takes part again, zero if it does
--- a/replicator/recovery.go
+++ b/replicator/recovery.go
@@ -25,13 +25,15 @@
 	process uint64
 }
 
-func (r *Replicator) startRecovery(rec journaler.Recovered) {
+func (r *Replicator) startRecovery(rec journaler.Recovered, unique bool) {
 	r.recovery.process = r.rng.Uint64() | 1
 	r.recovery.recovering = rec.HardState.Recovering
 	if rec.HardState != (journaler.HardState{}) || rec.Snapshot != nil || len(rec.Entries) > 0 {
 		return
 	}
 	switch {
+	case !r.members.isVoter(r.name) && unique:
+		// It votes only after it was promoted.
 	case !r.members.isVoter(r.name):
 		r.recovery.recovering = true
 	case len(r.members.current()) > 1:
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -65,6 +65,8 @@
 	votes            map[string]bool
 	// contact is when the leader last had contact with a majority, as far as this member knows.
 	contact time.Time
+	// current is the latest time up to which this member is known to have everything that was committed.
+	current time.Time
 
 	elected     time.Time
 	firstIndex  uint64
@@ -89,6 +91,9 @@
 	// ElectionTimeout is the shortest time without a leader after which a voter starts an election.
 	ElectionTimeout time.Duration
 	Seed            uint64
+	// Unique says that the name was never used with another disk, so a member that starts with an empty one has not
+	// acknowledged anything before and needs no recovery.
+	Unique bool
 }
 
 // New returns a member that continues from what its journal recovered.
@@ -122,7 +127,7 @@
 	if term := r.log.lastTerm(); term > r.term {
 		return nil, errors.Wrapf(journaler.ErrCorrupt, "log has term %d, hard state %d", term, r.term)
 	}
-	r.startRecovery(rec)
+	r.startRecovery(rec, o.Unique)
 	r.resetElection(now)
 	return &r, nil
 }
@@ -147,7 +152,7 @@
 		r.takeVoteAnswer(now, m)
 	case m.Append != nil:
 		if r.hear(now, m, m.Append.Round, m.Append.MajorityAge) {
-			r.takeAppend(m)
+			r.takeAppend(now, m)
 		}
 	case m.Snapshot != nil:
 		if r.hear(now, m, m.Snapshot.Round, m.Snapshot.MajorityAge) {
--- a/server/facts.go
+++ b/server/facts.go
@@ -12,6 +12,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/operator"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // factsTimeout bounds the question to one host, so that a status answers soon while a host is cut off.
@@ -67,7 +68,7 @@
 	if cfg == nil || l == nil {
 		return nil
 	}
-	now := time.Now()
+	now := timekeeper.Now()
 	seen := make(map[string]operator.TargetFacts)
 	for i := range cfg.Services {
 		table, ok := l.Table(cfg.Services[i].Name)
