Keep targets, key ranges and the traffic table in the replicated state

Cause: on the users' platform targets announce themselves to any control host and keys are contiguous ranges that are granted by calls; the state had hash slots and authorities only.

Change: package registrar holds the traffic table, the targets by life, the lives that ended, and the ranges of each keyed service with owner, fence and handover.

Conclusion: one source of truth for who owns a key, replayed by every host.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -63,6 +63,8 @@
 		return s.delegate(cmd.Delegate)
 	case cmd.Assign != nil:
 		return s.assign(cmd.Assign)
+	case cmd.Registry != nil:
+		s.Registry = s.Registry.Apply(s.Index, *cmd.Registry)
 	}
 	return Result{}
 }
--- a/applier/codec.go
+++ b/applier/codec.go
@@ -116,6 +116,8 @@
 		}
 	case cmd.Assign != nil:
 		w.Assign = assignToWire(cmd.Assign)
+	case cmd.Registry != nil:
+		w.Registry = cmd.Registry.ToWire()
 	}
 	return w
 }
@@ -194,6 +196,9 @@
 		}
 	case w.Assign != nil:
 		cmd.Assign = w.Assign.assign()
+	case w.Registry != nil:
+		c := w.Registry.Change()
+		cmd.Registry = &c
 	}
 	return cmd
 }
--- a/applier/command.go
+++ b/applier/command.go
@@ -6,6 +6,7 @@
 
 	"bramleyline.example/bramleyline/fencer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/registrar"
 )
 
 // Command is one change of the State. Exactly one of the pointers is set.
@@ -22,6 +23,8 @@
 	SetInSync     *SetInSyncMsg
 	Delegate      *DelegateMsg
 	Assign        *AssignMsg
+	// Registry changes the registry of direct dispatch.
+	Registry *registrar.Change
 }
 
 // Result is what a Command did.
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -7,6 +7,7 @@
 
 	"bramleyline.example/bramleyline/fencer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/registrar"
 )
 
 // slotBytes is the size of one slot in a snapshot: epoch 8, delegation 4, target 4, data centre 2.
@@ -23,7 +24,8 @@
 	TargetsOut  map[string]serviceChangeWire `cbor:"8,keyasint"`
 	Slots       map[string]tableWire         `cbor:"9,keyasint"`
 	// Answers has the pages of remembered results, the oldest first.
-	Answers []map[string]resultWire `cbor:"10,keyasint"`
+	Answers  []map[string]resultWire `cbor:"10,keyasint"`
+	Registry *registrar.Wire         `cbor:"11,keyasint,omitempty"`
 }
 
 type serviceChangeWire struct {
@@ -103,6 +105,7 @@
 		}
 		w.Answers[a.depth-1] = results
 	}
+	w.Registry = s.Registry.ToWire()
 	b, err := encoding.Marshal(w)
 	return b, errors.Wrap(err, "encode snapshot")
 }
@@ -124,6 +127,9 @@
 	for _, c := range w.History {
 		s.History = append(s.History, c.stored())
 	}
+	if w.Registry != nil {
+		s.Registry = w.Registry.Registry()
+	}
 	s.Hosts = make(map[string]Host, len(w.Hosts))
 	for name, h := range w.Hosts {
 		s.Hosts[name] = h.host()
--- a/applier/state.go
+++ b/applier/state.go
@@ -7,6 +7,7 @@
 
 	"bramleyline.example/bramleyline/fencer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/registrar"
 )
 
 // State is what the log's commands have made of the empty state up to Index. The zero value is the empty state.
@@ -26,6 +27,8 @@
 	// TargetsOut has the targets that operators have taken out.
 	TargetsOut map[string]ServiceChange
 	Slots      map[string]*SlotTable
+	// Registry is the state of direct dispatch.
+	Registry registrar.Registry
 
 	answered *answers
 }
--- a/applier/wire.go
+++ b/applier/wire.go
@@ -6,21 +6,23 @@
 
 	"bramleyline.example/bramleyline/fencer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/registrar"
 )
 
 // The wire types are the encoded form of commands and snapshots. A number is never used for another field, so that a
 // newer program reads the log of an older one.
 
 type commandWire struct {
-	RequestID     string             `cbor:"1,keyasint,omitempty"`
-	PutConfig     *storedConfigWire  `cbor:"2,keyasint,omitempty"`
-	SetService    *setServiceWire    `cbor:"3,keyasint,omitempty"`
-	ChangeVoters  *changeVotersWire  `cbor:"4,keyasint,omitempty"`
-	RegisterHost  *hostWire          `cbor:"5,keyasint,omitempty"`
-	NameAuthority *nameAuthorityWire `cbor:"6,keyasint,omitempty"`
-	SetInSync     *setInSyncWire     `cbor:"7,keyasint,omitempty"`
-	Delegate      *delegateWire      `cbor:"8,keyasint,omitempty"`
-	Assign        *assignWire        `cbor:"9,keyasint,omitempty"`
+	RequestID     string                `cbor:"1,keyasint,omitempty"`
+	PutConfig     *storedConfigWire     `cbor:"2,keyasint,omitempty"`
+	SetService    *setServiceWire       `cbor:"3,keyasint,omitempty"`
+	ChangeVoters  *changeVotersWire     `cbor:"4,keyasint,omitempty"`
+	RegisterHost  *hostWire             `cbor:"5,keyasint,omitempty"`
+	NameAuthority *nameAuthorityWire    `cbor:"6,keyasint,omitempty"`
+	SetInSync     *setInSyncWire        `cbor:"7,keyasint,omitempty"`
+	Delegate      *delegateWire         `cbor:"8,keyasint,omitempty"`
+	Assign        *assignWire           `cbor:"9,keyasint,omitempty"`
+	Registry      *registrar.ChangeWire `cbor:"10,keyasint,omitempty"`
 }
 
 // storedConfigWire holds a StoredConfig, and a PutConfigMsg with its expected version as Version.
--- /dev/null
+++ b/registrar/ranges.go
@@ -0,0 +1,136 @@
+package registrar
+
+import (
+	"maps"
+	"slices"
+	"sort"
+)
+
+// Range is a contiguous range of keys with one owner.
+type Range struct {
+	// From and To are both inclusive.
+	From uint16
+	To   uint16
+	// Owner is the life that the range was granted to last; an empty ID means that nobody owns it.
+	Owner Life
+	// Fence orders the grants of a key. It is the log index of the grant.
+	Fence uint64
+	// Releasing says that the owner is giving the range up, so no new work goes there.
+	Releasing bool
+	// Handover is what the owner before gave at its release, empty if it gave nothing.
+	Handover string
+}
+
+// Grant gives a range of keys to a life under a new fence.
+type Grant struct {
+	From     uint16
+	To       uint16
+	Owner    Life
+	Handover string
+}
+
+// Span is a range of keys, both ends inclusive.
+type Span struct {
+	From uint16
+	To   uint16
+}
+
+// Grant records new owners. The fence of each granted range is index, which is above every fence before it.
+func (r Registry) Grant(index uint64, service string, grants []Grant) Registry {
+	ranges := r.Ranges[service]
+	for _, g := range grants {
+		ranges = overlay(ranges, Range{
+			From:     g.From,
+			To:       g.To,
+			Owner:    g.Owner,
+			Fence:    index,
+			Handover: g.Handover,
+		})
+	}
+	return r.withRanges(service, ranges)
+}
+
+// Release marks spans of keys as being given up, or takes the mark back. The owners and fences stay.
+func (r Registry) Release(service string, spans []Span, releasing bool) Registry {
+	ranges := r.Ranges[service]
+	for _, s := range spans {
+		for _, piece := range Cut(ranges, s) {
+			piece.Releasing = releasing
+			ranges = overlay(ranges, piece)
+		}
+	}
+	return r.withRanges(service, ranges)
+}
+
+// Find returns the range that holds key.
+func Find(ranges []Range, key uint16) (Range, bool) {
+	i := sort.Search(len(ranges), func(i int) bool { return ranges[i].To >= key })
+	if i == len(ranges) || ranges[i].From > key {
+		return Range{}, false
+	}
+	return ranges[i], true
+}
+
+// Cut returns the parts of ranges within s.
+func Cut(ranges []Range, s Span) []Range {
+	var parts []Range
+	for _, r := range ranges {
+		if r.To < s.From || r.From > s.To {
+			continue
+		}
+		r.From, r.To = max(r.From, s.From), min(r.To, s.To)
+		parts = append(parts, r)
+	}
+	return parts
+}
+
+func (r Registry) withRanges(service string, ranges []Range) Registry {
+	next := r
+	next.Ranges = maps.Clone(r.Ranges)
+	if next.Ranges == nil {
+		next.Ranges = make(map[string][]Range)
+	}
+	next.Ranges[service] = ranges
+	return next
+}
+
+// overlay returns ranges with the keys of n replaced by n.
+func overlay(ranges []Range, n Range) []Range {
+	next := make([]Range, 0, len(ranges)+2)
+	for _, r := range ranges {
+		if r.To < n.From || r.From > n.To {
+			next = append(next, r)
+			continue
+		}
+		if r.From < n.From {
+			left := r
+			left.To = n.From - 1
+			next = append(next, left)
+		}
+		if r.To > n.To {
+			right := r
+			right.From = n.To + 1
+			next = append(next, right)
+		}
+	}
+	next = append(next, n)
+	slices.SortFunc(next, func(a, b Range) int { return int(a.From) - int(b.From) })
+	return joined(next)
+}
+
+// joined merges neighbours that differ in nothing but their keys.
+func joined(ranges []Range) []Range {
+	out := ranges[:0]
+	for _, r := range ranges {
+		if n := len(out); n > 0 {
+			last := out[n-1]
+			last.From, last.To = r.From, r.To
+			if last == r && out[n-1].To != ^uint16(0) && out[n-1].To+1 == r.From {
+				out[n-1].To = r.To
+				continue
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/registrar/wire.go
@@ -0,0 +1,315 @@
+package registrar
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// The wire types are the encoded form of changes and registries in the log and in snapshots. A number is never used for
+// another field, so that a newer program reads what an older one wrote.
+
+// ChangeWire is the encoded form of a Change.
+type ChangeWire struct {
+	PutTable *documentWire `cbor:"1,keyasint,omitempty"`
+	Announce *targetWire   `cbor:"2,keyasint,omitempty"`
+	Leave    string        `cbor:"3,keyasint,omitempty"`
+	Remove   *lifeWire     `cbor:"4,keyasint,omitempty"`
+	Grant    *grantWire    `cbor:"5,keyasint,omitempty"`
+	Release  *releaseWire  `cbor:"6,keyasint,omitempty"`
+}
+
+// Wire is the encoded form of a Registry.
+type Wire struct {
+	Table    documentWire            `cbor:"1,keyasint"`
+	Targets  []targetWire            `cbor:"2,keyasint,omitempty"`
+	Departed map[string]departedWire `cbor:"3,keyasint,omitempty"`
+	Ranges   map[string][]rangeWire  `cbor:"4,keyasint,omitempty"`
+}
+
+type documentWire struct {
+	Version uint64 `cbor:"1,keyasint,omitempty"`
+	Body    []byte `cbor:"2,keyasint,omitempty"`
+	Index   uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+type lifeWire struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
+}
+
+type departedWire struct {
+	_    struct{} `cbor:",toarray"`
+	Born int64
+	At   uint64
+}
+
+type targetWire struct {
+	Life       lifeWire `cbor:"1,keyasint"`
+	Service    string   `cbor:"2,keyasint,omitempty"`
+	Addr       string   `cbor:"3,keyasint,omitempty"`
+	DataCentre string   `cbor:"4,keyasint,omitempty"`
+	Slots      int      `cbor:"5,keyasint,omitempty"`
+	Seq        uint64   `cbor:"6,keyasint,omitempty"`
+	Cold       bool     `cbor:"7,keyasint,omitempty"`
+	Draining   bool     `cbor:"8,keyasint,omitempty"`
+	JoinedAt   uint64   `cbor:"9,keyasint,omitempty"`
+	ChangedAt  uint64   `cbor:"10,keyasint,omitempty"`
+}
+
+type grantWire struct {
+	Service string      `cbor:"1,keyasint"`
+	Grants  []rangeWire `cbor:"2,keyasint"`
+}
+
+type releaseWire struct {
+	Service   string     `cbor:"1,keyasint"`
+	Spans     []spanWire `cbor:"2,keyasint"`
+	Releasing bool       `cbor:"3,keyasint,omitempty"`
+}
+
+type spanWire struct {
+	_    struct{} `cbor:",toarray"`
+	From uint16
+	To   uint16
+}
+
+type rangeWire struct {
+	From      uint16   `cbor:"1,keyasint,omitempty"`
+	To        uint16   `cbor:"2,keyasint,omitempty"`
+	Owner     lifeWire `cbor:"3,keyasint"`
+	Fence     uint64   `cbor:"4,keyasint,omitempty"`
+	Releasing bool     `cbor:"5,keyasint,omitempty"`
+	Handover  string   `cbor:"6,keyasint,omitempty"`
+}
+
+// ToWire returns the encoded form of c.
+func (c Change) ToWire() *ChangeWire {
+	w := ChangeWire{}
+	switch {
+	case c.PutTable != nil:
+		w.PutTable = &documentWire{
+			Version: c.PutTable.Version,
+			Body:    c.PutTable.Body,
+		}
+	case c.Announce != nil:
+		t := targetToWire(*c.Announce)
+		w.Announce = &t
+	case c.Leave != nil:
+		w.Leave = c.Leave.ID
+	case c.Remove != nil:
+		l := lifeToWire(*c.Remove)
+		w.Remove = &l
+	case c.Grant != nil:
+		w.Grant = &grantWire{
+			Service: c.Grant.Service,
+		}
+		for _, g := range c.Grant.Grants {
+			w.Grant.Grants = append(w.Grant.Grants, rangeWire{
+				From:     g.From,
+				To:       g.To,
+				Owner:    lifeToWire(g.Owner),
+				Handover: g.Handover,
+			})
+		}
+	case c.Release != nil:
+		w.Release = &releaseWire{
+			Service:   c.Release.Service,
+			Releasing: c.Release.Releasing,
+		}
+		for _, s := range c.Release.Spans {
+			w.Release.Spans = append(w.Release.Spans, spanWire{
+				From: s.From,
+				To:   s.To,
+			})
+		}
+	}
+	return &w
+}
+
+// Change returns what w stands for.
+func (w *ChangeWire) Change() Change {
+	c := Change{}
+	switch {
+	case w.PutTable != nil:
+		c.PutTable = &PutTableMsg{
+			Version: w.PutTable.Version,
+			Body:    w.PutTable.Body,
+		}
+	case w.Announce != nil:
+		t := w.Announce.target()
+		c.Announce = &t
+	case w.Leave != "":
+		c.Leave = &LeaveMsg{
+			ID: w.Leave,
+		}
+	case w.Remove != nil:
+		l := w.Remove.life()
+		c.Remove = &l
+	case w.Grant != nil:
+		c.Grant = &GrantMsg{
+			Service: w.Grant.Service,
+		}
+		for _, g := range w.Grant.Grants {
+			c.Grant.Grants = append(c.Grant.Grants, Grant{
+				From:     g.From,
+				To:       g.To,
+				Owner:    g.Owner.life(),
+				Handover: g.Handover,
+			})
+		}
+	case w.Release != nil:
+		c.Release = &ReleaseMsg{
+			Service:   w.Release.Service,
+			Releasing: w.Release.Releasing,
+		}
+		for _, s := range w.Release.Spans {
+			c.Release.Spans = append(c.Release.Spans, Span{
+				From: s.From,
+				To:   s.To,
+			})
+		}
+	}
+	return c
+}
+
+// ToWire returns the encoded form of r.
+func (r Registry) ToWire() *Wire {
+	w := Wire{
+		Table: documentWire{
+			Version: r.Table.Version,
+			Body:    r.Table.Body,
+			Index:   r.Table.Index,
+		},
+		Departed: make(map[string]departedWire, len(r.Departed)),
+		Ranges:   make(map[string][]rangeWire, len(r.Ranges)),
+	}
+	for _, id := range sortedIDs(r.Targets) {
+		w.Targets = append(w.Targets, targetToWire(r.Targets[id]))
+	}
+	for id, d := range r.Departed {
+		w.Departed[id] = departedWire{
+			Born: bornToWire(d.Born),
+			At:   d.At,
+		}
+	}
+	for service, ranges := range r.Ranges {
+		list := make([]rangeWire, 0, len(ranges))
+		for _, rg := range ranges {
+			list = append(list, rangeWire{
+				From:      rg.From,
+				To:        rg.To,
+				Owner:     lifeToWire(rg.Owner),
+				Fence:     rg.Fence,
+				Releasing: rg.Releasing,
+				Handover:  rg.Handover,
+			})
+		}
+		w.Ranges[service] = list
+	}
+	return &w
+}
+
+// Registry returns what w stands for.
+func (w *Wire) Registry() Registry {
+	r := Registry{
+		Table: Document{
+			Version: w.Table.Version,
+			Index:   w.Table.Index,
+			Body:    w.Table.Body,
+		},
+		Targets:  make(map[string]Target, len(w.Targets)),
+		Departed: make(map[string]Departure, len(w.Departed)),
+		Ranges:   make(map[string][]Range, len(w.Ranges)),
+	}
+	for _, t := range w.Targets {
+		r.Targets[t.Life.ID] = t.target()
+	}
+	for id, d := range w.Departed {
+		r.Departed[id] = Departure{
+			Born: bornFromWire(d.Born),
+			At:   d.At,
+		}
+	}
+	for service, list := range w.Ranges {
+		ranges := make([]Range, 0, len(list))
+		for _, rg := range list {
+			ranges = append(ranges, Range{
+				From:      rg.From,
+				To:        rg.To,
+				Owner:     rg.Owner.life(),
+				Fence:     rg.Fence,
+				Releasing: rg.Releasing,
+				Handover:  rg.Handover,
+			})
+		}
+		r.Ranges[service] = ranges
+	}
+	return r
+}
+
+func targetToWire(t Target) targetWire {
+	return targetWire{
+		Life:       lifeToWire(t.Life),
+		Service:    t.Service,
+		Addr:       t.Addr.String(),
+		DataCentre: t.DataCentre,
+		Slots:      t.Slots,
+		Seq:        t.Seq,
+		Cold:       t.Cold,
+		Draining:   t.Draining,
+		JoinedAt:   t.JoinedAt,
+		ChangedAt:  t.ChangedAt,
+	}
+}
+
+func (w *targetWire) target() Target {
+	// An address that cannot be read stays invalid, and nothing is sent to it.
+	addr, _ := netip.ParseAddrPort(w.Addr)
+	return Target{
+		Life:       w.Life.life(),
+		Service:    w.Service,
+		Addr:       addr,
+		DataCentre: w.DataCentre,
+		Slots:      w.Slots,
+		Seq:        w.Seq,
+		Cold:       w.Cold,
+		Draining:   w.Draining,
+		JoinedAt:   w.JoinedAt,
+		ChangedAt:  w.ChangedAt,
+	}
+}
+
+func lifeToWire(l Life) lifeWire {
+	return lifeWire{
+		ID:   l.ID,
+		Born: bornToWire(l.Born),
+	}
+}
+
+func (w lifeWire) life() Life {
+	return Life{
+		ID:   w.ID,
+		Born: bornFromWire(w.Born),
+	}
+}
+
+func bornToWire(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func bornFromWire(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
+
+func sortedIDs(targets map[string]Target) []string {
+	return slices.Sorted(maps.Keys(targets))
+}
