Send callers' requests straight to targets

Cause: an entry host without a dispatching host between it and the target needs its own connections to callers with read-ahead, its own choice of a target and its own refusals.

A retry budget takes its burst from the settings.

--- /dev/null
+++ b/matcher/matcher_test.go
@@ -0,0 +1,68 @@
+package matcher
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func table(routes ...Route) *Table {
+	return New(1, routes, map[string]Service{"tally": {
+		Name: "tally",
+	}}, Limits{})
+}
+
+func route(name, host, prefix string) Route {
+	return Route{
+		Name:   name,
+		Host:   host,
+		Prefix: prefix,
+		Split: []Part{{
+			Service: "tally",
+			Weight:  1,
+		}},
+	}
+}
+
+// Guards against a request that takes a shorter prefix of its path than another route has.
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	c := qt.New(t)
+	tb := table(route("all", "a.example", "/"), route("deep", "a.example", "/x/y/"), route("mid", "a.example", "/x/"))
+	for path, want := range map[string]string{
+		"/":      "all",
+		"/x":     "all",
+		"/x/":    "mid",
+		"/x/yz":  "mid",
+		"/x/y/z": "deep",
+	} {
+		r, ok := tb.Match("A.example:8080", path)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(r.Name, qt.Equals, want, qt.Commentf("%s", path))
+	}
+	_, ok := tb.Match("b.example", "/")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// Guards against an invalid table being put in force: each fault is reported with its place, all together.
+func TestCheckFindsEveryFault(t *testing.T) {
+	c := qt.New(t)
+	long := route("long", "a.example", "/l/")
+	long.Timeout = time.Hour
+	lost := route("lost", "a.example", "/n/")
+	lost.Split[0] = Part{
+		Service: "nowhere",
+		Weight:  -1,
+	}
+	none := route("none", "a.example", "/o/")
+	none.Split = nil
+	tb := table(route("one", "a.example", "/x/"), route("two", "A.example", "/x/"), long, lost, none)
+	c.Assert(tb.Check(), qt.DeepEquals, []string{
+		"route two: has the same host and prefix as route one",
+		"route long: timeout 1h0m0s is over 10m0s",
+		`route lost: service "nowhere" is not known`,
+		"route lost: weight -1 of service nowhere is below 0",
+		"route none: names no service",
+	})
+	c.Assert(table(route("one", "a.example", "/x/")).Check(), qt.IsNil)
+}
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -14,6 +14,9 @@
 // Budget is a token bucket: each first attempt adds its share, each further attempt takes one. The zero value is a full
 // bucket. It is safe for concurrent use and has no lock.
 type Budget struct {
+	// Burst is the number of attempts that a full bucket allows at once; zero means 10.
+	Burst int
+
 	// spent is what is missing from a full bucket, so that the zero value is full.
 	spent atomic.Int64
 }
@@ -39,7 +42,7 @@
 	}
 	for {
 		spent := b.spent.Load()
-		if spent+unit > burst*unit {
+		if spent+unit > b.burst()*unit {
 			return false
 		}
 		if b.spent.CompareAndSwap(spent, spent+unit) {
@@ -47,3 +50,10 @@
 		}
 	}
 }
+
+func (b *Budget) burst() int64 {
+	if b.Burst > 0 {
+		return int64(b.Burst)
+	}
+	return burst
+}
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -77,13 +77,18 @@
 		}
 	}
 	resetLimit(c)
-	if echo := resp.Header.Get("Bramleyline-Request"); echo != r.Identity {
+	if keep := resp.Header.Get("Keep-Alive"); keep != "" {
+		c.learnKeep(keep)
+	}
+	echo := resp.Header.Get(r.echoHeader())
+	if echo != r.Identity && (echo != "" || !r.EchoOptional) {
 		f := a.fault(errors.Errorf("answer belongs to request %q", echo), "crossed answer")
 		f.Reason, f.Status, f.Severed = ReasonCrossed, http.StatusBadGateway, false
 		return nil, f
 	}
-	// An answer that ends with its connection cannot be told from one that was cut.
-	if resp.StatusCode == http.StatusSwitchingProtocols || !delimited(resp, r.Method) {
+	// An answer that ends with its connection is whole only if the connection was not reset, which not all targets allow
+	// to tell.
+	if resp.StatusCode == http.StatusSwitchingProtocols || !r.Undelimited && !delimited(resp, r.Method) {
 		f := a.fault(errors.New("answer has no length"), "malformed answer")
 		f.Reason = ReasonMalformed
 		return nil, f
@@ -94,6 +99,7 @@
 		Length:  resp.ContentLength,
 		body:    resp.Body,
 		keep:    !resp.Close,
+		Echoed:  echo == r.Identity,
 		attempt: a,
 	}, nil
 }
@@ -185,6 +191,8 @@
 	Header http.Header
 	// Length is the number of bytes of the body, -1 if it is sent in chunks.
 	Length int64
+	// Echoed says that the answer repeats the identity of the request.
+	Echoed bool
 
 	body    io.ReadCloser
 	keep    bool
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -5,6 +5,8 @@
 	"io"
 	"math"
 	"net"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -28,6 +30,8 @@
 	// broken is the error that ended reading. The HTTP parser reports a header that ends early as malformed.
 	broken error
 	idle   time.Time
+	// keep is how long the target said that it keeps an idle connection, less a margin; zero means that it said nothing.
+	keep time.Duration
 }
 
 // newConn makes a conn that sends over c. The socket below it, which differs with TLS, is looked at before each reuse.
@@ -70,6 +74,27 @@
 	return err
 }
 
+// keepMargin is taken off the time for which a target keeps an idle connection: a request that crosses the target's close
+// has an unknown outcome.
+const keepMargin = 700 * time.Millisecond
+
+// learnKeep takes the time for which the target keeps an idle connection from a Keep-Alive header.
+func (c *conn) learnKeep(header string) {
+	for _, part := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			c.keep = max(time.Millisecond, time.Duration(seconds)*time.Second-keepMargin)
+		}
+	}
+}
+
+// fresh reports whether the connection was idle for so short a time that the target still keeps it. A bound of zero is
+// none.
+func (c *conn) fresh(now time.Time, bound time.Duration) bool {
+	idle := now.Sub(c.idle)
+	return (c.keep == 0 || idle < c.keep) && (bound == 0 || idle < bound)
+}
+
 // alive reports whether an idle connection can carry a request: it is open, and nothing arrived on it unasked. Without
 // this check a request would be written to a connection that the target closed while it was idle, and its outcome would
 // be unknown.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -37,8 +37,15 @@
 	Header http.Header
 	Fields []Field
 	Body   []byte
-	// Identity must come back in the header Bramleyline-Request of the answer.
-	Identity string
+	// Identity must come back in the answer, in the header that EchoHeader names or else in Bramleyline-Request.
+	Identity   string
+	EchoHeader string
+	// EchoOptional allows an answer without the header; one with another identity is never taken.
+	EchoOptional bool
+	// Undelimited allows an answer without a length, which ends with its connection.
+	Undelimited bool
+	// MaxIdle bounds how long the connection was idle before; zero means as long as the target keeps it.
+	MaxIdle time.Duration
 	// Deadline bounds the attempt up to the last byte of the answer.
 	Deadline time.Time
 	// Connections bounds the open connections to Addr.
@@ -49,6 +56,16 @@
 	Check func() error
 }
 
+// defaultEchoHeader is the header in which targets repeat the identity of a request.
+const defaultEchoHeader = "Bramleyline-Request"
+
+func (r *Request) echoHeader() string {
+	if r.EchoHeader != "" {
+		return r.EchoHeader
+	}
+	return defaultEchoHeader
+}
+
 // Sender makes attempts. Make it with New.
 type Sender struct {
 	dial   DialFunc
@@ -111,7 +128,7 @@
 		default:
 		}
 		p := s.pool(r.Addr)
-		c, err := p.acquire(ctx, r.Connections)
+		c, err := p.acquire(ctx, r.Connections, r.MaxIdle)
 		if err == nil || !errors.Is(err, ErrClosed) {
 			return p, c, err
 		}
