Grant key ranges from the control leader

Cause: the platform's targets take grants by calls with fences and holds.

Conclusion: an address or an ID does not identify a life; a connection does.

--- /dev/null
+++ b/allotter/allotter.go
@@ -0,0 +1,284 @@
+// Package allotter plans which target owns which keys: it divides unowned keys by capacity, and moves parts of ranges
+// from busy targets to idle ones. Its functions are pure.
+package allotter
+
+import (
+	"sort"
+
+	"bramleyline.example/bramleyline/registrar"
+)
+
+const (
+	// busyShare is the share of its capacity from which a target's keys are moved away: below it a request rarely waits,
+	// however uneven the load is.
+	busyShare = 0.45
+	// excess is the factor over the mean from which a target counts as busier than the others.
+	excess = 1.25
+	// minGap is the least difference, as a share of capacity, between giver and taker. It keeps moves from swinging back.
+	minGap = 0.15
+	// minPart is the least part of the wanted load that a move must carry to be worth it.
+	minPart = 0.05
+	// minAssign is the least part of its fair share that a target takes of keys without an owner, however busy it is.
+	minAssign = 0.25
+	// maxPart bounds what a move carries in relation to the wanted load.
+	maxPart = 1.3
+)
+
+// Target is a target that can own keys.
+type Target struct {
+	Life registrar.Life
+	// Capacity is the number of slots, weighted by the target's speed.
+	Capacity float64
+	// Closed says that the target gives keys away and takes none.
+	Closed bool
+}
+
+// Move takes a part of one owner's keys to another target.
+type Move struct {
+	Span registrar.Span
+	From registrar.Life
+	To   registrar.Life
+}
+
+// Allotter plans for one service.
+type Allotter struct {
+	// Sums is the cumulated load of the keys in busy slots: the load of keys a to b is Sums[b+1]-Sums[a].
+	Sums []float64
+	// Ranges has all ranges, Targets the targets that may own them.
+	Ranges  []registrar.Range
+	Targets []Target
+}
+
+// holding is a target with what it owns in the plan.
+type holding struct {
+	Target
+	load  float64
+	spans []registrar.Span
+	stuck bool
+}
+
+func (h *holding) share() float64 {
+	return h.load / h.Capacity
+}
+
+func (a *Allotter) weight(s registrar.Span) float64 {
+	return a.Sums[int(s.To)+1] - a.Sums[s.From]
+}
+
+func (a *Allotter) holdings() (all []*holding, total, capacity float64) {
+	byLife := make(map[registrar.Life]*holding)
+	for _, t := range a.Targets {
+		h := &holding{
+			Target: t,
+		}
+		all = append(all, h)
+		byLife[t.Life] = h
+		if !t.Closed {
+			capacity += t.Capacity
+		}
+	}
+	for _, r := range a.Ranges {
+		s := registrar.Span{
+			From: r.From,
+			To:   r.To,
+		}
+		total += a.weight(s)
+		h, ok := byLife[r.Owner]
+		if !ok {
+			continue
+		}
+		h.load += a.weight(s)
+		if !r.Releasing {
+			h.spans = append(h.spans, s)
+		}
+	}
+	return all, total, capacity
+}
+
+// Assign divides spans that nobody owns among the targets, each as far as its capacity goes. It returns nothing if there
+// is no target.
+func (a *Allotter) Assign(spans []registrar.Span) []registrar.Grant {
+	all, total, capacity := a.holdings()
+	if capacity == 0 {
+		return nil
+	}
+	for _, s := range spans {
+		if len(registrar.Cut(a.Ranges, s)) == 0 {
+			total += a.weight(s)
+		}
+	}
+	mean := total / capacity
+	var grants []registrar.Grant
+	for _, s := range spans {
+		for done := false; !done; {
+			h := idlest(all)
+			want := max((mean-h.share())*h.Capacity, minAssign*mean*h.Capacity)
+			part, rest, more := a.prefix(s, want)
+			h.load += a.weight(part)
+			grants = append(grants, registrar.Grant{
+				From:  part.From,
+				To:    part.To,
+				Owner: h.Life,
+			})
+			s, done = rest, !more
+		}
+	}
+	return grants
+}
+
+// prefix cuts a part of about the wanted load off the start of s. It takes one key at least, and all if little is left.
+func (a *Allotter) prefix(s registrar.Span, want float64) (part, rest registrar.Span, more bool) {
+	if a.weight(s) <= want*maxPart {
+		return s, registrar.Span{}, false
+	}
+	n := sort.Search(int(s.To)-int(s.From), func(i int) bool {
+		return a.Sums[int(s.From)+i+1]-a.Sums[s.From] >= want
+	})
+	end := s.From + uint16(n)
+	if end >= s.To {
+		return s, registrar.Span{}, false
+	}
+	part = registrar.Span{
+		From: s.From,
+		To:   end,
+	}
+	rest = registrar.Span{
+		From: end + 1,
+		To:   s.To,
+	}
+	return part, rest, true
+}
+
+func idlest(all []*holding) *holding {
+	var best *holding
+	for _, h := range all {
+		if h.Closed {
+			continue
+		}
+		if best == nil || h.share() < best.share() {
+			best = h
+		}
+	}
+	return best
+}
+
+func busiest(all []*holding) *holding {
+	var best *holding
+	for _, h := range all {
+		if h.stuck || len(h.spans) == 0 {
+			continue
+		}
+		if best == nil || h.share() > best.share() {
+			best = h
+		}
+	}
+	return best
+}
+
+// Plan returns at most limit moves that even out the load. A target without any key gets its share however small the
+// load is.
+func (a *Allotter) Plan(limit int) []Move {
+	all, total, capacity := a.holdings()
+	if capacity == 0 {
+		return nil
+	}
+	mean := total / capacity
+	var moves []Move
+	for len(moves) < limit {
+		giver, taker := busiest(all), idlest(all)
+		if giver == nil || taker == nil || giver == taker {
+			break
+		}
+		empty := len(taker.spans) == 0 && taker.load == 0
+		uneven := giver.share() > busyShare && giver.share() > excess*mean && giver.share()-taker.share() > minGap
+		if !empty && !uneven {
+			break
+		}
+		want := min((giver.share()-mean)*giver.Capacity, (mean-taker.share())*taker.Capacity)
+		if empty {
+			want = min((mean-taker.share())*taker.Capacity, giver.load/2)
+		}
+		i, part, ok := a.cut(giver, want)
+		if !ok {
+			giver.stuck = true
+			continue
+		}
+		moves = append(moves, Move{
+			Span: part,
+			From: giver.Life,
+			To:   taker.Life,
+		})
+		w := a.weight(part)
+		giver.load -= w
+		giver.spans = without(giver.spans, i, part)
+		taker.load += w
+		// A part that is on its way does not move on at once, but it makes the taker one that owns something.
+	}
+	return moves
+}
+
+// cut returns the part at an end of one of the giver's spans whose load is closest to what is wanted.
+func (a *Allotter) cut(giver *holding, want float64) (index int, part registrar.Span, ok bool) {
+	best := 0.0
+	for i, s := range giver.spans {
+		whole := len(giver.spans) > 1
+		for _, p := range a.ends(s, want, whole) {
+			w := a.weight(p)
+			if w > want*maxPart || w < want*minPart {
+				continue
+			}
+			if !ok || distance(w, want) < distance(best, want) {
+				index, part, best, ok = i, p, w, true
+			}
+		}
+	}
+	return index, part, ok
+}
+
+func distance(a, b float64) float64 {
+	return max(a-b, b-a)
+}
+
+// ends returns the longest parts at both ends of s that do not exceed the wanted load, and s itself if whole is true.
+func (a *Allotter) ends(s registrar.Span, want float64, whole bool) []registrar.Span {
+	var parts []registrar.Span
+	if whole {
+		parts = append(parts, s)
+	}
+	n := int(s.To) - int(s.From)
+	if n == 0 {
+		return parts
+	}
+	// The first k keys, k from 1 to n.
+	k := sort.Search(n, func(i int) bool { return a.Sums[int(s.From)+i+1]-a.Sums[s.From] > want })
+	if k > 0 {
+		parts = append(parts, registrar.Span{
+			From: s.From,
+			To:   s.From + uint16(k-1),
+		})
+	}
+	k = sort.Search(n, func(i int) bool { return a.Sums[int(s.To)+1]-a.Sums[int(s.To)-i] > want })
+	if k > 0 {
+		parts = append(parts, registrar.Span{
+			From: s.To - uint16(k-1),
+			To:   s.To,
+		})
+	}
+	return parts
+}
+
+// without returns spans with part cut off the span at index i.
+func without(spans []registrar.Span, i int, part registrar.Span) []registrar.Span {
+	s := spans[i]
+	switch {
+	case part == s:
+		return append(spans[:i:i], spans[i+1:]...)
+	case part.From == s.From:
+		s.From = part.To + 1
+	default:
+		s.To = part.From - 1
+	}
+	next := append([]registrar.Span(nil), spans...)
+	next[i] = s
+	return next
+}
--- /dev/null
+++ b/lessor/lessor.go
@@ -0,0 +1,310 @@
+// Package lessor decides, on the control leader, which calls grant, renew and release the key ranges of targets, and
+// which changes of ownership enter the log.
+//
+// A key gets a new owner only when the one before cannot hold it any more: it released the key, or its process has ended,
+// or all that was ever granted to it has lapsed. A grant without an answer may take effect later, so it counts as held
+// from the moment at which it was given up.
+package lessor
+
+import (
+	"maps"
+	"time"
+
+	"bramleyline.example/bramleyline/allotter"
+	"bramleyline.example/bramleyline/leaser"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/weigher"
+)
+
+const (
+	// renewals is the number of renewals within a hold: a few may fail in a row before it lapses.
+	renewals = 5
+	// retryWait is the pause before a failed call is made again.
+	retryWait = 300 * time.Millisecond
+	// planEvery is the interval at which moves are planned.
+	planEvery = 400 * time.Millisecond
+	// maxMoves bounds the ranges that are on their way from one target to another at once.
+	maxMoves = 6
+	// settleTime is how long targets may go on to announce themselves before the keys of a service without any owner are
+	// divided among them.
+	settleTime = 1200 * time.Millisecond
+	// deadAfter is the number of failed calls in a row from which a target takes no further keys.
+	deadAfter = 2
+	// maxRanges bounds the ranges of one target: each has to be renewed by itself.
+	maxRanges = 12
+)
+
+// Settings are the figures that a Lessor works with.
+type Settings struct {
+	// Hold is the length of a grant.
+	Hold time.Duration
+}
+
+// View is what the Lessor decides on.
+type View struct {
+	Registry registrar.Registry
+	// Services has the keyed services of the traffic table.
+	Services []string
+	// Out reports whether operators have taken a data centre out.
+	Out func(dataCentre string) bool
+	// Pending says that changes are on their way into the log, so that no further ones are decided.
+	Pending bool
+	// Weighers measure the load of each service. A service without one counts as idle.
+	Weighers map[string]*weigher.Weigher
+}
+
+// Effects are what is to be done.
+type Effects struct {
+	Calls   []CallMsg
+	Changes []registrar.Change
+}
+
+// Lessor is the decision core of one term of leadership. Make it with New. It is not safe for concurrent use.
+type Lessor struct {
+	settings Settings
+	// elected is when the leadership began: until a hold later, grants of an earlier leader may be valid.
+	elected time.Time
+	holders map[registrar.Life]*holder
+	// moves has the next owner of each span that is being released, by service and first key.
+	moves map[spanKey]registrar.Life
+	// released has the spans that their owner has given up.
+	released map[spanKey]releaseNote
+	planned  map[string]time.Time
+	pruned   time.Time
+	joined   map[registrar.Life]time.Time
+	refenced map[string]bool
+
+	now     time.Time
+	view    View
+	effects Effects
+}
+
+type spanKey struct {
+	service string
+	span    registrar.Span
+	fence   uint64
+}
+
+type releaseNote struct {
+	handover string
+}
+
+// holder is what is known of one life of a target.
+type holder struct {
+	// until is when the last of all that was granted to the life has lapsed at the latest.
+	until time.Time
+	// doubt has, for each fence, when the last unanswered grant has lapsed at the latest.
+	doubt map[uint64]time.Time
+	// busy says that a call is in progress.
+	busy bool
+	// failures counts the failed calls in a row; retryAt is when the next call may be made.
+	failures int
+	retryAt  time.Time
+	grants   map[spanKey]time.Time // when each granted span is to be renewed
+	// fenced has the fences that must not be used again at this life.
+	fenced map[uint64]bool
+	// used has the fences that were sent to this life.
+	used map[uint64]bool
+}
+
+// New returns a Lessor for a leadership that began at elected.
+func New(elected time.Time, s Settings) *Lessor {
+	return &Lessor{
+		settings: s,
+		elected:  elected,
+		holders:  make(map[registrar.Life]*holder),
+		moves:    make(map[spanKey]registrar.Life),
+		released: make(map[spanKey]releaseNote),
+		planned:  make(map[string]time.Time),
+		joined:   make(map[registrar.Life]time.Time),
+		refenced: make(map[string]bool),
+	}
+}
+
+// lapse returns when a grant that took effect at t at the latest is over on the slowest clock.
+func (l *Lessor) lapse(t time.Time) time.Time {
+	return t.Add(l.settings.Hold + leaser.DefaultMargin(l.settings.Hold))
+}
+
+func (l *Lessor) holder(life registrar.Life) *holder {
+	h, ok := l.holders[life]
+	if !ok {
+		h = &holder{
+			doubt:  make(map[uint64]time.Time),
+			grants: make(map[spanKey]time.Time),
+			fenced: make(map[uint64]bool),
+			used:   make(map[uint64]bool),
+		}
+		l.holders[life] = h
+	}
+	return h
+}
+
+// Tick decides what is to be done at now.
+func (l *Lessor) Tick(now time.Time, v View) Effects {
+	l.now, l.view, l.effects = now, v, Effects{}
+	l.noteJoins()
+	for _, service := range v.Services {
+		l.tickService(service)
+	}
+	l.prune()
+	return l.effects
+}
+
+// prune forgets notes on ranges that have changed since, and lives that can hold nothing any more.
+func (l *Lessor) prune() {
+	if l.now.Before(l.pruned.Add(planEvery)) {
+		return
+	}
+	l.pruned = l.now
+	present := make(map[spanKey]bool)
+	for service, ranges := range l.view.Registry.Ranges {
+		for _, r := range ranges {
+			present[keyOfRange(service, r)] = true
+		}
+	}
+	absent := func(k spanKey) bool { return !present[k] }
+	if !l.view.Pending {
+		maps.DeleteFunc(l.moves, func(k spanKey, _ registrar.Life) bool { return absent(k) })
+	}
+	maps.DeleteFunc(l.released, func(k spanKey, _ releaseNote) bool { return absent(k) })
+	for life, h := range l.holders {
+		maps.DeleteFunc(h.grants, func(k spanKey, _ time.Time) bool { return absent(k) })
+		if !h.busy && !l.view.Registry.Alive(life) && !l.now.Before(h.until) {
+			delete(l.holders, life)
+		}
+	}
+}
+
+// Answered takes the result of a call.
+func (l *Lessor) Answered(now time.Time, m AnsweredMsg) {
+	h := l.holder(m.Call.Life)
+	h.busy = false
+	key := keyOf(m.Call)
+	switch {
+	case m.Answered:
+		h.failures = 0
+	case m.Disconnected:
+		// The connection may have ended for any reason; the next call tells whether the target is still there.
+		h.fenced[key.fence] = true
+		return
+	default:
+		h.failures++
+		h.retryAt = now.Add(retryWait)
+		if m.NotSent {
+			delete(h.used, key.fence)
+		}
+	}
+	if m.Call.Grant != nil {
+		l.granted(now, h, key, m)
+		return
+	}
+	if m.Answered && m.OK {
+		l.released[key] = releaseNote{
+			handover: m.Handover,
+		}
+		delete(h.grants, key)
+	}
+}
+
+func (l *Lessor) granted(now time.Time, h *holder, key spanKey, m AnsweredMsg) {
+	switch {
+	case m.NotSent:
+		return
+	case !m.Answered:
+		until := l.lapse(now)
+		h.doubt[key.fence] = later(h.doubt[key.fence], until)
+		h.until = later(h.until, until)
+		return
+	}
+	h.until = later(h.until, l.lapse(now))
+	switch {
+	case m.OK:
+		h.grants[key] = now.Add(l.settings.Hold / renewals)
+	case m.Fenced:
+		h.fenced[key.fence] = true
+	default:
+		h.retryAt = now.Add(retryWait)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func keyOf(c CallMsg) spanKey {
+	return spanKey{
+		service: c.Service,
+		span:    c.Span,
+		fence:   c.Fence,
+	}
+}
+
+func keyOfRange(service string, r registrar.Range) spanKey {
+	return spanKey{
+		service: service,
+		span: registrar.Span{
+			From: r.From,
+			To:   r.To,
+		},
+		fence: r.Fence,
+	}
+}
+
+func (l *Lessor) noteJoins() {
+	for _, t := range l.view.Registry.Targets {
+		if _, ok := l.joined[t.Life]; !ok {
+			l.joined[t.Life] = l.now
+		}
+	}
+	for life := range l.joined {
+		if !l.view.Registry.Alive(life) {
+			delete(l.joined, life)
+		}
+	}
+}
+
+// targets returns the targets of a service that the planner works with.
+func (l *Lessor) targets(service string) []allotter.Target {
+	var all []allotter.Target
+	w := l.view.Weighers[service]
+	warm := 0
+	for _, t := range l.view.Registry.Targets {
+		if t.Service != service {
+			continue
+		}
+		slowness := 1.0
+		if w != nil {
+			slowness = w.Slowness(t.ID)
+		}
+		closed := l.leaving(t) || t.Cold || l.holder(t.Life).failures >= deadAfter
+		if !closed {
+			warm++
+		}
+		all = append(all, allotter.Target{
+			Life:     t.Life,
+			Capacity: float64(max(1, t.Slots)) / slowness,
+			Closed:   closed,
+		})
+	}
+	if warm == 0 {
+		l.openCold(all)
+	}
+	sortTargets(all)
+	return all
+}
+
+// openCold lets cold targets own keys where there is no other: the hosts keep within their limit.
+func (l *Lessor) openCold(all []allotter.Target) {
+	for i := range all {
+		t := l.view.Registry.Targets[all[i].Life.ID]
+		all[i].Closed = l.leaving(t) || l.holder(t.Life).failures >= deadAfter
+	}
+}
+
+func (l *Lessor) leaving(t registrar.Target) bool {
+	return t.Draining || l.view.Out(t.DataCentre)
+}
--- /dev/null
+++ b/lessor/service.go
@@ -0,0 +1,364 @@
+package lessor
+
+import (
+	"slices"
+	"strings"
+
+	"bramleyline.example/bramleyline/allotter"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/weigher"
+)
+
+// tickService decides for all ranges of one service.
+func (l *Lessor) tickService(service string) {
+	ranges := l.view.Registry.Ranges[service]
+	if len(ranges) == 0 {
+		if !l.view.Pending {
+			l.divide(service)
+		}
+		return
+	}
+	if !l.refenced[service] && !l.view.Pending {
+		l.refenced[service] = true
+		if l.refence(service, ranges) {
+			return
+		}
+	}
+	var free, leaving []registrar.Range
+	for _, r := range ranges {
+		switch l.judge(service, r) {
+		case isFree:
+			free = append(free, r)
+		case isLeaving:
+			leaving = append(leaving, r)
+		}
+	}
+	if l.view.Pending {
+		return
+	}
+	l.assign(service, ranges, free)
+	l.release(service, leaving)
+	if len(free) == 0 && len(leaving) == 0 {
+		l.plan(service, ranges)
+	}
+}
+
+// divide gives out the keys of a service that never had an owner, once its targets have announced themselves.
+func (l *Lessor) divide(service string) {
+	targets := l.targets(service)
+	open := 0
+	for _, t := range targets {
+		if t.Closed {
+			continue
+		}
+		open++
+		if l.now.Sub(l.joined[t.Life]) < settleTime {
+			return
+		}
+	}
+	if open == 0 {
+		return
+	}
+	a := allotter.Allotter{
+		Sums:    l.sums(service),
+		Targets: targets,
+	}
+	l.change(registrar.Change{
+		Grant: &registrar.GrantMsg{
+			Service: service,
+			Grants: a.Assign([]registrar.Span{{
+				From: 0,
+				To:   weigher.Keys - 1,
+			}}),
+		},
+	})
+}
+
+// refence gives all ranges to their owners anew. A call of the leader before that is still on its way then has a lower
+// fence than what the owner has seen, so it can do nothing any more.
+func (l *Lessor) refence(service string, ranges []registrar.Range) bool {
+	var grants []registrar.Grant
+	for _, r := range ranges {
+		if r.Owner.ID == "" {
+			continue
+		}
+		// What an earlier leader granted may be valid for one more hold.
+		h := l.holder(r.Owner)
+		h.until = later(h.until, l.lapse(l.elected))
+		if l.view.Registry.Alive(r.Owner) {
+			grants = append(grants, registrar.Grant{
+				From:  r.From,
+				To:    r.To,
+				Owner: r.Owner,
+			})
+		}
+	}
+	if len(grants) == 0 {
+		return false
+	}
+	l.change(registrar.Change{
+		Grant: &registrar.GrantMsg{
+			Service: service,
+			Grants:  grants,
+		},
+	})
+	return true
+}
+
+type verdict int
+
+const (
+	isHeld verdict = iota
+	isFree
+	isLeaving
+)
+
+// judge decides what becomes of one range, and makes the calls that its owner needs.
+func (l *Lessor) judge(service string, r registrar.Range) verdict {
+	if r.Owner.ID == "" || !l.view.Registry.Alive(r.Owner) {
+		return isFree
+	}
+	h := l.holder(r.Owner)
+	key := keyOfRange(service, r)
+	t := l.view.Registry.Targets[r.Owner.ID]
+	if r.Releasing {
+		return l.judgeReleasing(h, t, r, key)
+	}
+	if h.failures >= deadAfter && !l.now.Before(h.until) {
+		return isFree
+	}
+	if l.leaving(t) {
+		return isLeaving
+	}
+	if h.fenced[r.Fence] {
+		l.raise(service, r)
+		return isHeld
+	}
+	if !l.now.Before(h.grants[key]) {
+		l.call(h, t, key, &GrantCall{
+			Hold:     l.settings.Hold,
+			Handover: r.Handover,
+		})
+	}
+	return isHeld
+}
+
+func (l *Lessor) judgeReleasing(h *holder, t registrar.Target, r registrar.Range, key spanKey) verdict {
+	doubtful := l.now.Before(h.doubt[key.fence])
+	_, released := l.released[key]
+	switch {
+	case released && !doubtful, !l.now.Before(h.until):
+		return isFree
+	case doubtful && h.failures == 0 && !h.busy:
+		// An unanswered grant may still take effect after the release; under a new fence it cannot.
+		l.raise(key.service, r)
+	case !released:
+		l.call(h, t, key, nil)
+	}
+	return isHeld
+}
+
+// raise gives a range to its owner again under a higher fence, where the present one must not be used any more.
+func (l *Lessor) raise(service string, r registrar.Range) {
+	l.change(registrar.Change{
+		Grant: &registrar.GrantMsg{
+			Service: service,
+			Grants: []registrar.Grant{{
+				From:     r.From,
+				To:       r.To,
+				Owner:    r.Owner,
+				Handover: r.Handover,
+			}},
+		},
+	})
+}
+
+// call asks for a grant, or for a release if grant is nil, unless another call to the target is in progress.
+func (l *Lessor) call(h *holder, t registrar.Target, key spanKey, grant *GrantCall) {
+	if h.busy || l.now.Before(h.retryAt) {
+		return
+	}
+	h.busy = true
+	l.effects.Calls = append(l.effects.Calls, CallMsg{
+		Life:    t.Life,
+		Addr:    t.Addr,
+		Service: key.service,
+		Span:    key.span,
+		Fence:   key.fence,
+		Grant:   grant,
+		Release: grant == nil,
+		// A fence is sent over a new connection only once.
+		SameConnection: grant != nil && h.used[key.fence],
+	})
+	if grant != nil {
+		h.used[key.fence] = true
+	}
+}
+
+// change proposes a change of the registry, unless others are on their way: it is decided again after them.
+func (l *Lessor) change(c registrar.Change) {
+	if l.view.Pending {
+		return
+	}
+	l.effects.Changes = append(l.effects.Changes, c)
+}
+
+// assign gives free ranges to new owners.
+func (l *Lessor) assign(service string, ranges, free []registrar.Range) {
+	if len(free) == 0 {
+		return
+	}
+	targets := l.targets(service)
+	open := make(map[registrar.Life]bool)
+	for _, t := range targets {
+		open[t.Life] = !t.Closed
+	}
+	var grants []registrar.Grant
+	var rest []registrar.Span
+	handovers := make(map[registrar.Span]string)
+	for _, r := range free {
+		s := registrar.Span{
+			From: r.From,
+			To:   r.To,
+		}
+		key := keyOfRange(service, r)
+		note := l.released[key]
+		to, planned := l.moves[key]
+		if planned && open[to] {
+			grants = append(grants, registrar.Grant{
+				From:     r.From,
+				To:       r.To,
+				Owner:    to,
+				Handover: note.handover,
+			})
+			continue
+		}
+		handovers[s] = note.handover
+		rest = append(rest, s)
+	}
+	grants = append(grants, l.spread(service, ranges, targets, rest, handovers)...)
+	if len(grants) > 0 {
+		l.change(registrar.Change{
+			Grant: &registrar.GrantMsg{
+				Service: service,
+				Grants:  grants,
+			},
+		})
+	}
+}
+
+// spread divides spans among the targets. A part of a span takes the handover of the whole.
+func (l *Lessor) spread(service string, ranges []registrar.Range, targets []allotter.Target, spans []registrar.Span,
+	handovers map[registrar.Span]string,
+) []registrar.Grant {
+	if len(spans) == 0 {
+		return nil
+	}
+	a := allotter.Allotter{
+		Sums:    l.sums(service),
+		Ranges:  l.expected(service, ranges),
+		Targets: targets,
+	}
+	grants := a.Assign(spans)
+	for i := range grants {
+		for s, handover := range handovers {
+			if grants[i].From >= s.From && grants[i].To <= s.To {
+				grants[i].Handover = handover
+			}
+		}
+	}
+	return grants
+}
+
+// release starts to take ranges from owners that leave.
+func (l *Lessor) release(service string, leaving []registrar.Range) {
+	var spans []registrar.Span
+	for _, r := range leaving {
+		if h := l.holder(r.Owner); l.now.Before(h.doubt[r.Fence]) {
+			// An unanswered grant may still take effect after the release; under a new fence it cannot.
+			l.raise(service, r)
+			continue
+		}
+		spans = append(spans, registrar.Span{
+			From: r.From,
+			To:   r.To,
+		})
+	}
+	l.startRelease(service, spans)
+}
+
+func (l *Lessor) startRelease(service string, spans []registrar.Span) {
+	if len(spans) == 0 {
+		return
+	}
+	l.change(registrar.Change{
+		Release: &registrar.ReleaseMsg{
+			Service:   service,
+			Spans:     spans,
+			Releasing: true,
+		},
+	})
+}
+
+// plan moves keys from busy targets to idle ones.
+func (l *Lessor) plan(service string, ranges []registrar.Range) {
+	w := l.view.Weighers[service]
+	if w == nil || !w.Settled(l.now) || l.now.Before(l.planned[service].Add(planEvery)) {
+		return
+	}
+	l.planned[service] = l.now
+	moving := 0
+	count := make(map[registrar.Life]int)
+	for _, r := range ranges {
+		count[r.Owner]++
+		if r.Releasing {
+			moving++
+		}
+	}
+	if moving >= maxMoves {
+		return
+	}
+	a := allotter.Allotter{
+		Sums:    w.Sums(l.now),
+		Ranges:  l.expected(service, ranges),
+		Targets: l.targets(service),
+	}
+	var spans []registrar.Span
+	for _, m := range a.Plan(maxMoves - moving) {
+		r, ok := registrar.Find(ranges, m.Span.From)
+		if !ok || l.now.Before(l.holder(r.Owner).doubt[r.Fence]) || count[m.To] >= maxRanges {
+			continue
+		}
+		count[m.To]++
+		l.moves[spanKey{
+			service: service,
+			span:    m.Span,
+			fence:   r.Fence,
+		}] = m.To
+		spans = append(spans, m.Span)
+	}
+	l.startRelease(service, spans)
+}
+
+// expected returns the ranges with those that are on their way given to their next owners.
+func (l *Lessor) expected(service string, ranges []registrar.Range) []registrar.Range {
+	out := slices.Clone(ranges)
+	for i, r := range out {
+		if to, ok := l.moves[keyOfRange(service, r)]; ok && r.Releasing {
+			out[i].Owner = to
+		}
+	}
+	return out
+}
+
+func (l *Lessor) sums(service string) []float64 {
+	if w := l.view.Weighers[service]; w != nil {
+		return w.Sums(l.now)
+	}
+	var idle weigher.Weigher
+	return idle.Sums(l.now)
+}
+
+func sortTargets(all []allotter.Target) {
+	slices.SortFunc(all, func(a, b allotter.Target) int { return strings.Compare(a.Life.ID, b.Life.ID) })
+}
--- /dev/null
+++ b/overseer/overseer.go
@@ -0,0 +1,332 @@
+// Package overseer runs the duties of the control leader: it drives the lessor, makes the calls at targets, proposes
+// the changes of ownership, and keeps the members of the control group.
+package overseer
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/controller"
+	"bramleyline.example/bramleyline/lessor"
+	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/recruiter"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/timekeeper"
+	"bramleyline.example/bramleyline/weigher"
+)
+
+const (
+	// tickInterval is the longest time between two decisions; changes of the state and answers of targets come before.
+	tickInterval = 50 * time.Millisecond
+	// memberInterval is the time between two looks at the members of the control group.
+	memberInterval = 250 * time.Millisecond
+	// grantTimeout bounds a grant: it is answered within a few milliseconds unless something is wrong.
+	grantTimeout = time.Second
+	// releaseTimeout bounds a release, which is answered when the work in progress has ended.
+	releaseTimeout = 4 * time.Second
+	// proposeTimeout bounds the commit of a change.
+	proposeTimeout = 2 * time.Second
+)
+
+var counters = expvar.NewMap("overseer")
+
+// Caller makes calls at targets.
+type Caller interface {
+	Call(ctx context.Context, c lessor.CallMsg) lessor.AnsweredMsg
+}
+
+// Options are the parts that an Overseer works with. All are required.
+type Options struct {
+	Controller *controller.Controller
+	Caller     Caller
+	// Decode reads a stored traffic table.
+	Decode   func(registrar.Document) (*matcher.Table, error)
+	Hold     time.Duration
+	Recruits recruiter.Recruiter
+	Log      *log.Logger
+}
+
+// Overseer acts only while its host leads. Make it with New.
+type Overseer struct {
+	opts    Options
+	answers chan lessor.AnsweredMsg
+	work    chan []WorkMsg
+	// proposed is sent to when proposals have ended.
+	proposed chan struct{}
+
+	lessor    *lessor.Lessor
+	since     time.Time
+	pending   bool
+	recruited time.Time
+	table     *matcher.Table
+	weighers  map[string]*weigher.Weigher
+
+	startOnce sync.Once
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+// WorkMsg is work that a target did, as an entry host saw it.
+type WorkMsg struct {
+	Service string
+	Key     uint16
+	Target  string
+	// Work is the expected time of the request, Took the time that it took at a target that was not busy, else zero.
+	Work time.Duration
+	Took time.Duration
+}
+
+// New returns an Overseer that has not started.
+func New(o Options) *Overseer {
+	s := Overseer{
+		opts:     o,
+		answers:  make(chan lessor.AnsweredMsg, 1024),
+		work:     make(chan []WorkMsg, 256),
+		proposed: make(chan struct{}, 1),
+		weighers: make(map[string]*weigher.Weigher),
+		done:     make(chan struct{}),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return &s
+}
+
+// Start starts the loop.
+func (s *Overseer) Start() {
+	s.startOnce.Do(func() { go s.run() })
+}
+
+// Done is closed when the loop has ended.
+func (s *Overseer) Done() <-chan struct{} {
+	return s.done
+}
+
+// Close ends the loop and the calls in progress.
+func (s *Overseer) Close() error {
+	s.cancel()
+	s.startOnce.Do(func() { close(s.done) })
+	<-s.done
+	return nil
+}
+
+// Observe takes the work that an entry host saw. What comes faster than the loop takes it is dropped and counted.
+func (s *Overseer) Observe(work []WorkMsg) {
+	select {
+	case s.work <- work:
+	default:
+		counters.Add("droppedWork", int64(len(work)))
+	}
+}
+
+func (s *Overseer) run() {
+	defer close(s.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		changed := s.opts.Controller.Changed()
+		s.tick()
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		case m := <-s.answers:
+			s.answered(m)
+		case <-s.proposed:
+			s.pending = false
+		case work := <-s.work:
+			s.weigh(work)
+		}
+		s.drain()
+	}
+}
+
+// drain takes what else has arrived, so that one decision is made for all of it.
+func (s *Overseer) drain() {
+	for {
+		select {
+		case m := <-s.answers:
+			s.answered(m)
+		case <-s.proposed:
+			s.pending = false
+		case work := <-s.work:
+			s.weigh(work)
+		default:
+			return
+		}
+	}
+}
+
+func (s *Overseer) answered(m lessor.AnsweredMsg) {
+	if !m.OK {
+		counters.Add("failedCalls", 1)
+		s.opts.Log.Warn("call at target failed", "target", m.Call.Life.ID, "service", m.Call.Service, "from", m.Call.Span.From,
+			"to", m.Call.Span.To, "fence", m.Call.Fence, "release", m.Call.Release, "sent", !m.NotSent, "answered", m.Answered,
+			"err", m.Err)
+	}
+	if s.lessor != nil {
+		s.lessor.Answered(timekeeper.Now(), m)
+	}
+}
+
+func (s *Overseer) weigh(work []WorkMsg) {
+	now := timekeeper.Now()
+	for _, m := range work {
+		w, ok := s.weighers[m.Service]
+		if !ok {
+			w = &weigher.Weigher{}
+			s.weighers[m.Service] = w
+		}
+		w.Add(now, m.Key, m.Work)
+		w.Saw(m.Target, m.Took, m.Work)
+	}
+}
+
+// tick makes the decisions of one moment.
+func (s *Overseer) tick() {
+	now := timekeeper.Now()
+	since, ok := s.opts.Controller.Leading(now)
+	if !ok {
+		if s.lessor != nil {
+			s.opts.Log.Info("leadership ended", "since", since)
+		}
+		s.lessor = nil
+		return
+	}
+	if s.lessor == nil || !since.Equal(s.since) {
+		s.opts.Log.Info("leadership began", "index", s.opts.Controller.State().Index)
+		s.since = since
+		s.lessor = lessor.New(since, lessor.Settings{
+			Hold: s.opts.Hold,
+		})
+	}
+	s.recruit(now)
+	st := s.opts.Controller.State()
+	if !s.readTable(st) {
+		return
+	}
+	e := s.lessor.Tick(now, lessor.View{
+		Registry: st.Registry,
+		Services: s.keyed(),
+		Out:      func(dc string) bool { return st.DataCentres[dc].Out },
+		Pending:  s.pending,
+		Weighers: s.weighers,
+	})
+	for _, c := range e.Calls {
+		go s.call(c)
+	}
+	if len(e.Changes) > 0 {
+		s.pending = true
+		go s.propose(e.Changes)
+	}
+}
+
+// readTable keeps the table that is in force, and reports whether there is one.
+func (s *Overseer) readTable(st *applier.State) bool {
+	d := st.Registry.Table
+	if d.Version == 0 {
+		return false
+	}
+	if s.table == nil || s.table.Version != d.Version {
+		t, err := s.opts.Decode(d)
+		if err != nil {
+			s.opts.Log.Error("stored table cannot be read", "version", d.Version, "err", err)
+			return s.table != nil
+		}
+		s.table = t
+	}
+	return true
+}
+
+func (s *Overseer) keyed() []string {
+	var names []string
+	for name, svc := range s.table.Services {
+		if svc.Keyed {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// call makes one call at a target, if this host still leads.
+func (s *Overseer) call(c lessor.CallMsg) {
+	timeout := grantTimeout
+	if c.Release {
+		timeout = releaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	m := lessor.AnsweredMsg{
+		Call:    c,
+		NotSent: true,
+		Err:     controller.ErrNotLeader,
+	}
+	if since, ok := s.opts.Controller.Leading(timekeeper.Now()); ok && !since.IsZero() {
+		counters.Add("calls", 1)
+		m = s.opts.Caller.Call(ctx, c)
+	}
+	select {
+	case s.answers <- m:
+	case <-s.ctx.Done():
+	}
+}
+
+// propose commits changes in their order. A change that fails is decided anew.
+func (s *Overseer) propose(changes []registrar.Change) {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	for i := range changes {
+		s.logChange(&changes[i])
+		if _, err := s.opts.Controller.Propose(ctx, applier.Command{
+			Registry: &changes[i],
+		}); err != nil {
+			s.opts.Log.Warn("change of ownership not committed", "err", err)
+			break
+		}
+	}
+	s.proposed <- struct{}{}
+}
+
+func (s *Overseer) logChange(c *registrar.Change) {
+	switch {
+	case c.Grant != nil:
+		for _, g := range c.Grant.Grants {
+			s.opts.Log.Info("new owner", "service", c.Grant.Service, "from", g.From, "to", g.To, "target", g.Owner.ID,
+				"handover", g.Handover != "")
+		}
+	case c.Release != nil:
+		for _, p := range c.Release.Spans {
+			s.opts.Log.Info("release", "service", c.Release.Service, "from", p.From, "to", p.To)
+		}
+	}
+}
+
+// recruit makes the next change of the member list, if there is one.
+func (s *Overseer) recruit(now time.Time) {
+	if now.Sub(s.recruited) < memberInterval {
+		return
+	}
+	s.recruited = now
+	change, ok := s.opts.Recruits.Decide(s.opts.Controller.Peers())
+	if !ok {
+		return
+	}
+	go s.changeMembers(change)
+}
+
+func (s *Overseer) changeMembers(c recruiter.Change) {
+	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
+	defer cancel()
+	var err error
+	if c.Promote != "" {
+		err = s.opts.Controller.Promote(ctx, c.Promote)
+	} else {
+		err = s.opts.Controller.Remove(ctx, c.Remove)
+	}
+	s.opts.Log.Info("member change", "promote", c.Promote, "remove", c.Remove, "err", err)
+}
--- /dev/null
+++ b/overseer/service.go
@@ -0,0 +1,75 @@
+package overseer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/messenger"
+)
+
+// joinTimeout bounds the addition of a member.
+const joinTimeout = time.Second
+
+// JoinArgs are the arguments of Leader.Join.
+type JoinArgs struct {
+	Name string
+	Addr string
+}
+
+// JoinReply is the answer of Leader.Join. Leader is the name of the leader, if it is another host.
+type JoinReply struct {
+	Joined bool
+	Leader string
+}
+
+// ObserveArgs are the arguments of Leader.Observe.
+type ObserveArgs struct {
+	Work []WorkMsg
+}
+
+// ObserveReply is empty: what is lost is not sent again.
+type ObserveReply struct{}
+
+type service struct {
+	s *Overseer
+}
+
+// Register adds the service "Leader" to l.
+func (s *Overseer) Register(l *messenger.Listener) error {
+	return l.Register("Leader", &service{
+		s: s,
+	})
+}
+
+// Join adds a host to the control group as a learner.
+func (v *service) Join(args *JoinArgs, reply *JoinReply) error {
+	c := v.s.opts.Controller
+	for _, m := range c.Members() {
+		if m.Name == args.Name {
+			reply.Joined = true
+			return nil
+		}
+	}
+	addr, err := netip.ParseAddrPort(args.Addr)
+	if err != nil {
+		return errors.Wrap(err, "address of the new member")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	if err := c.AddLearner(ctx, args.Name, addr); err != nil {
+		reply.Leader, _ = c.Contact()
+		return errors.Wrap(err, "add learner")
+	}
+	v.s.opts.Log.Info("member joined", "member", args.Name, "addr", args.Addr)
+	reply.Joined = true
+	return nil
+}
+
+// Observe takes the work that an entry host saw.
+func (v *service) Observe(args *ObserveArgs, _ *ObserveReply) error {
+	v.s.Observe(args.Work)
+	return nil
+}
--- /dev/null
+++ b/recruiter/recruiter_test.go
@@ -0,0 +1,87 @@
+package recruiter
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/journaler"
+	"bramleyline.example/bramleyline/replicator"
+)
+
+func peer(name string, learner bool, silence time.Duration) replicator.Peer {
+	return replicator.Peer{
+		Member: journaler.Member{
+			Name:    name,
+			Addr:    netip.MustParseAddrPort("10.0.0." + name[1:2] + ":1"),
+			Learner: learner,
+		},
+		Silence:  silence,
+		CaughtUp: silence < time.Second,
+	}
+}
+
+// Guards against a group that shrinks for ever, that removes a voter it needs, or that keeps one whose disk is gone.
+func TestDecide(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		peers []replicator.Peer
+		want  Change
+	}{
+		{
+			name:  "complete group",
+			peers: []replicator.Peer{peer("b2", false, 0), peer("c3", false, 0), peer("d4", true, 0)},
+		},
+		{
+			name:  "voter is missing and a learner is ready",
+			peers: []replicator.Peer{peer("b2", false, 0), peer("d4", true, 0)},
+			want:  Change{Promote: "d4"},
+		},
+		{
+			name:  "learner has not caught up",
+			peers: []replicator.Peer{peer("b2", false, 0), peer("d4", true, 2*time.Second)},
+		},
+		{
+			name:  "short absence",
+			peers: []replicator.Peer{peer("b2", false, 2*time.Second), peer("c3", false, 0), peer("d4", true, 0)},
+		},
+		{
+			name:  "long absence",
+			peers: []replicator.Peer{peer("b2", false, 5*time.Second), peer("c3", false, 0), peer("d4", true, 0)},
+			want:  Change{Remove: "b2"},
+		},
+		{
+			name:  "long absence without a learner to take the place",
+			peers: []replicator.Peer{peer("b2", false, 5*time.Second), peer("c3", false, 0)},
+		},
+		{
+			name:  "voter whose address has another identity",
+			peers: []replicator.Peer{peer("b2", false, 1500*time.Millisecond), peer("c3", false, 0), peer("x2", true, 0)},
+			want:  Change{Remove: "b2"},
+		},
+		{
+			name: "too few voters are present",
+			peers: []replicator.Peer{
+				peer("b2", false, 5*time.Second), peer("c3", false, 5*time.Second), peer("d4", true, 0),
+			},
+		},
+		{
+			name: "learner is gone for good",
+			peers: []replicator.Peer{
+				peer("b2", false, 0), peer("c3", false, 0), peer("d4", true, time.Minute),
+			},
+			want: Change{Remove: "d4"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			got, ok := Recruiter{
+				Voters: 3,
+			}.Decide(test.peers)
+			c.Assert(ok, qt.Equals, test.want != Change{})
+			c.Assert(got, qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/weigher/weigher.go
@@ -0,0 +1,95 @@
+// Package weigher measures how much work the keys of one service ask for and how fast its targets are, with weights that
+// decay over time.
+package weigher
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Keys is the number of keys of a service.
+	Keys = 1 << 16
+	// memory is the time constant with which older work counts less. It is long enough that the few requests of a second
+	// do not look like a change, and short enough to follow a key that becomes busy.
+	memory = 4 * time.Second
+	// baseLoad is the load, in busy slots, that all keys together are taken to have beyond what was measured, so that
+	// keys without requests are spread too.
+	baseLoad = 1.0
+	// slownessShare is the weight of one answer in the slowness of a target.
+	slownessShare = 0.05
+	// minSlowness and maxSlowness bound the learned slowness of a target.
+	minSlowness = 0.3
+	maxSlowness = 4.0
+)
+
+// Weigher measures one service. The zero value has measured nothing. It is not safe for concurrent use.
+type Weigher struct {
+	load     []float32
+	at       time.Time
+	since    time.Time
+	slowness map[string]float64
+}
+
+// Add records that a request for key took work at a target of usual speed.
+func (w *Weigher) Add(now time.Time, key uint16, work time.Duration) {
+	w.decay(now)
+	w.load[key] += float32(work.Seconds() / memory.Seconds())
+}
+
+// Saw records how long a request took at a target that was not busy, and how long requests of its kind take.
+func (w *Weigher) Saw(target string, took, work time.Duration) {
+	if took <= 0 || work <= 0 {
+		return
+	}
+	if w.slowness == nil {
+		w.slowness = make(map[string]float64)
+	}
+	old, ok := w.slowness[target]
+	if !ok {
+		old = 1
+	}
+	ratio := min(maxSlowness, max(minSlowness, float64(took)/float64(work)))
+	w.slowness[target] = old + slownessShare*(ratio-old)
+}
+
+// Slowness returns how many times longer than usual requests take at a target, 1 if nothing is known.
+func (w *Weigher) Slowness(target string) float64 {
+	if s, ok := w.slowness[target]; ok {
+		return s
+	}
+	return 1
+}
+
+// Settled reports whether enough was measured at now to judge by it.
+func (w *Weigher) Settled(now time.Time) bool {
+	return !w.since.IsZero() && now.Sub(w.since) >= memory/2
+}
+
+// Sums returns the cumulated load of the keys in busy slots: the load of keys a to b is Sums[b+1]-Sums[a].
+func (w *Weigher) Sums(now time.Time) []float64 {
+	w.decay(now)
+	sums := make([]float64, Keys+1)
+	for i, l := range w.load {
+		sums[i+1] = sums[i] + float64(l) + baseLoad/Keys
+	}
+	return sums
+}
+
+func (w *Weigher) decay(now time.Time) {
+	if w.load == nil {
+		w.load = make([]float32, Keys)
+		w.at, w.since = now, now
+		return
+	}
+	// Small steps are left for later, so that adding a request does not touch all keys.
+	passed := now.Sub(w.at)
+	if passed < memory/16 {
+		return
+	}
+	f := float32(math.Exp(-passed.Seconds() / memory.Seconds()))
+	for i := range w.load {
+		w.load[i] *= f
+	}
+	w.at = now
+}
