Run on the users' platform

Change: platform translates headers, bodies and calls; director is one host with direct dispatch, settled by the section [direct] of the host's INI file, which deploy/host.ini.tmpl makes from the platform's settings; logger bounds log lines and never blocks.

--- /dev/null
+++ b/director/control.go
@@ -0,0 +1,184 @@
+package director
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/clerk"
+	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/controller"
+	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/overseer"
+	"bramleyline.example/bramleyline/recruiter"
+	"bramleyline.example/bramleyline/registrar"
+)
+
+const (
+	// joinWait is the pause between two looks at whether this host is a member of the control group.
+	joinWait = 250 * time.Millisecond
+	// joinTimeout bounds one request to be added.
+	joinTimeout = 1500 * time.Millisecond
+	// silentAfter is the time without contact after which a member asks whether it still is one.
+	silentAfter = 2 * time.Second
+	// controlHeaderTimeout and controlIdleTimeout bound the connections of operators and targets.
+	controlHeaderTimeout = 5 * time.Second
+	controlIdleTimeout   = 60 * time.Second
+	// controlStopTime is how long a control host that stops goes on with the orders in progress.
+	controlStopTime = time.Second
+)
+
+// control has the parts of a control host.
+type control struct {
+	d          *Director
+	name       string
+	controller *controller.Controller
+	overseer   *overseer.Overseer
+	http       *http.Server
+}
+
+func (d *Director) startControl() error {
+	s := d.settings
+	founders := make(map[string]netip.AddrPort)
+	for _, seed := range s.Direct.Seeds {
+		addr := d.rpcOf(seed)
+		founders[founderName(addr)] = addr
+	}
+	name, err := identity(s.DataFolder, s.Listen.RPC, s.Direct.Found && founders[founderName(s.Listen.RPC)].IsValid())
+	if err != nil {
+		return err
+	}
+	timing := configurer.DefaultTiming()
+	timing.ElectionTimeout = electionTimeout
+	options := []controller.Option{
+		controller.WithName(name),
+		controller.WithVoters(founders),
+		controller.WithDataFolder(s.DataFolder),
+		controller.WithMessenger(d.messenger),
+		controller.WithSeed(rand.Uint64()),
+		controller.WithLogger(d.log),
+		controller.WithTiming(timing),
+	}
+	if name != founderName(s.Listen.RPC) {
+		options = append(options, controller.WithUniqueName())
+	}
+	c, err := controller.New(options...)
+	if err != nil {
+		return err
+	}
+	if err := c.Register(d.rpc); err != nil {
+		return err
+	}
+	ctl := &control{
+		d:          d,
+		name:       name,
+		controller: c,
+	}
+	d.source = c
+	ctl.overseer = overseer.New(overseer.Options{
+		Controller: c,
+		Caller:     d.dialect.Targets,
+		Decode:     d.decode,
+		Hold:       s.Direct.Hold,
+		Recruits: recruiter.Recruiter{
+			// A majority of the voters is left after the losses that are to be borne.
+			Voters: 2*s.Direct.HostLosses + 1,
+		},
+		Log: d.log,
+	})
+	if err := ctl.overseer.Register(d.rpc); err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", s.Direct.Control.String())
+	if err != nil {
+		return errors.Wrap(err, "control address")
+	}
+	ctl.http = &http.Server{
+		Handler: d.dialect.ControlHandler(&clerk.Clerk{
+			State:    c,
+			Proposer: d.proposer,
+			Name:     name,
+			Log:      d.log,
+		}, d.log),
+		ReadHeaderTimeout: controlHeaderTimeout,
+		IdleTimeout:       controlIdleTimeout,
+	}
+	d.control = ctl
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ctl.overseer.Start()
+	go serveHTTP(ctl.http, ln, d.log)
+	go ctl.join()
+	return nil
+}
+
+// join asks to become a member of the control group as long as this host is none.
+func (c *control) join() {
+	for {
+		select {
+		case <-c.d.ctx.Done():
+			return
+		case <-time.After(joinWait):
+		}
+		if _, age := c.controller.Contact(); c.isMember() && age < silentAfter {
+			continue
+		}
+		for _, addr := range c.d.controlHosts() {
+			if addr == c.d.settings.Listen.RPC {
+				continue
+			}
+			if c.ask(addr) {
+				break
+			}
+		}
+	}
+}
+
+func (c *control) isMember() bool {
+	for _, m := range c.controller.Members() {
+		if m.Name == c.name {
+			return true
+		}
+	}
+	return false
+}
+
+// ask asks one host to add this one; only the leader can.
+func (c *control) ask(addr netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(c.d.ctx, joinTimeout)
+	defer cancel()
+	var reply overseer.JoinReply
+	err := c.d.messenger.Call(ctx, addr, "Leader.Join", &overseer.JoinArgs{
+		Name: c.name,
+		Addr: c.d.settings.Listen.RPC.String(),
+	}, &reply)
+	return err == nil && reply.Joined
+}
+
+func (c *control) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), controlStopTime)
+	defer cancel()
+	if err := c.http.Shutdown(ctx); err != nil {
+		c.d.log.Warn("orders were still in progress", "err", err)
+	}
+	_ = c.overseer.Close()
+	if err := c.controller.Close(); err != nil {
+		c.d.log.Error("log failed", "err", err)
+	}
+	_ = c.d.rpc.Close()
+}
+
+// decode reads a stored traffic table.
+func (d *Director) decode(doc registrar.Document) (*matcher.Table, error) {
+	text, err := clerk.Text(doc)
+	if err != nil {
+		return nil, err
+	}
+	return d.dialect.DecodeTable(text)
+}
--- a/main.go
+++ b/main.go
@@ -29,6 +29,9 @@
 
 // serve runs one host until ctx ends, and stops it gracefully.
 func serve(ctx context.Context, settings settler.Settings) error {
+	if settings.Direct != nil {
+		return serveDirect(ctx, settings)
+	}
 	s, err := server.New(settings, server.WithLog(os.Stderr))
 	if err != nil {
 		return err
--- a/server/options.go
+++ b/server/options.go
@@ -6,10 +6,7 @@
 	"net"
 	"net/netip"
 
-	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
-
-	"bramleyline.example/bramleyline/settler"
 )
 
 // Option changes how a host is made.
@@ -47,33 +44,6 @@
 	}
 }
 
-func newLogger(w io.Writer, settings settler.Settings) (*log.Logger, error) {
-	level := log.InfoLevel
-	if settings.LogLevel != "" {
-		parsed, err := log.ParseLevel(settings.LogLevel)
-		if err != nil {
-			return nil, errors.Wrap(err, "logLevel")
-		}
-		level = parsed
-	}
-	formatters := map[string]log.Formatter{
-		"":       log.TextFormatter,
-		"text":   log.TextFormatter,
-		"json":   log.JSONFormatter,
-		"logfmt": log.LogfmtFormatter,
-	}
-	formatter, ok := formatters[settings.LogFormat]
-	if !ok {
-		return nil, errors.Errorf("logFormat %q is none of text, json and logfmt", settings.LogFormat)
-	}
-	return log.NewWithOptions(w, log.Options{
-		Level:           level,
-		Formatter:       formatter,
-		ReportTimestamp: true,
-		Fields:          []any{"host", settings.Name},
-	}), nil
-}
-
 // dialHost connects to the rpc address of another host, with TLS if the settings name certificates.
 func (s *Server) dialHost(ctx context.Context, network, addr string) (net.Conn, error) {
 	if s.dial == nil {
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/follower"
 	"bramleyline.example/bramleyline/locator"
+	"bramleyline.example/bramleyline/logger"
 	"bramleyline.example/bramleyline/messenger"
 	"bramleyline.example/bramleyline/notifier"
 	"bramleyline.example/bramleyline/operator"
@@ -86,11 +87,11 @@
 	for _, o := range options {
 		o(s)
 	}
-	logger, err := newLogger(s.logOutput, settings)
+	l, err := logger.New(s.logOutput, settings.LogLevel, settings.LogFormat, settings.Name)
 	if err != nil {
 		return nil, err
 	}
-	s.logger = logger
+	s.logger = l
 	if s.certifier, err = certifier.New(settings.TLS); err != nil {
 		return nil, err
 	}
--- a/settler/lines.go
+++ b/settler/lines.go
@@ -17,12 +17,11 @@
 	findings []parser.Finding
 }
 
-func (r *reader) checkNames() {
-	sections := known()
+func (r *reader) checkNames(sections map[string][]string) {
 	for _, s := range r.file.Sections {
 		names, ok := sections[s.Name]
 		if !ok {
-			r.findLine(s.Line, "unknown section [%s], known are [host], [listen], [control], [keys], [tls] and [network]", s.Name)
+			r.findLine(s.Line, "unknown section [%s], known are %s", s.Name, sectionNames(sections))
 			continue
 		}
 		for _, setting := range s.Settings {
--- a/settler/reader.go
+++ b/settler/reader.go
@@ -26,7 +26,7 @@
 // known has the settings of each section of a host settings file.
 func known() map[string][]string {
 	return map[string][]string{
-		"host":    {"name", "dataCentre", "roles", "dataFolder", "logLevel", "logFormat"},
+		"host":    {"name", "dataCentre", "roles", "dataFolder", "logLevel", "logFormat", "dispatch"},
 		"listen":  {"caller", "peer", "rpc", "announce", "operator"},
 		"control": {"voters", "hosts"},
 		"keys":    {"system", "systemFile", "target", "targetFile", "operator", "operatorFile"},
@@ -48,11 +48,16 @@
 	r := reader{
 		folder: filepath.Dir(file),
 	}
+	r.settings.File = file
 	r.file, r.findings = parser.Parse(parser.Source{
 		Name: file,
 		Text: string(text),
 	})
-	r.checkNames()
+	if r.or("host", "dispatch", dispatchDelegated) == dispatchDirect {
+		r.direct()
+		return r.settings, parser.SortFindings(r.findings)
+	}
+	r.checkNames(known())
 	r.host()
 	r.listen()
 	r.control()
--- a/settler/settings.go
+++ b/settler/settings.go
@@ -7,6 +7,8 @@
 
 // Settings are what a host process learns from its settings file.
 type Settings struct {
+	// File is where the settings were read from.
+	File       string
 	Name       string
 	DataCentre string
 	Roles      Roles
@@ -24,6 +26,8 @@
 	Translation map[netip.AddrPort]netip.AddrPort
 	Keys        Keys
 	TLS         TLS
+	// Direct has the settings of direct dispatch; nil on a host that dispatches through dispatching hosts.
+	Direct *Direct
 }
 
 // Roles are the parts that a host plays.
