Date what a leader says by the member's own clock

Cause: a member took each message of the leader as fresh when it arrived.

Change: a member stamps its answers with its own clock, the leader sends the last stamp back, and contact counts from it.

Test: TestHeldUpMessagesAreNoContact; it needs the new field, so it cannot run on the old code.

Conclusion: only a round trip that this process began dates a message.

--- /dev/null
+++ b/replicator/contact_test.go
@@ -0,0 +1,86 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/journaler"
+	"bramleyline.example/bramleyline/replicator"
+)
+
+// heartbeat is what leader b sends to member a: a brings the stamp of a's last answer back.
+func (s *single) heartbeat(echo replicator.Stamp, committed uint64, entries ...journaler.Entry) replicator.Stamp {
+	s.core.Step(s.now, replicator.Message{
+		From: "b",
+		To:   "a",
+		Term: 5,
+		Append: &replicator.AppendMsg{
+			Entries:   entries,
+			Commit:    uint64(len(entries)),
+			Committed: committed,
+			Echo:      echo,
+		},
+	})
+	for _, m := range s.effects().Messages {
+		if m.AppendAnswer != nil {
+			return m.AppendAnswer.Stamp
+		}
+	}
+	s.c.Fatal("no answer to a heartbeat")
+	return replicator.Stamp{}
+}
+
+// Guards against a member that was frozen or cut off and takes messages that were held up on their way for news: what it
+// knows is as old as its own stamp that came back with them, however late they arrive.
+func TestHeldUpMessagesAreNoContact(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(c, journaler.Recovered{})
+	start := s.now
+	stamp := s.heartbeat(replicator.Stamp{}, 0)
+	c.Assert(s.core.Contact(s.now).IsZero(), qt.IsTrue)
+	s.now = s.now.Add(50 * time.Millisecond)
+	stamp = s.heartbeat(stamp, 0)
+	c.Assert(s.core.Contact(s.now), qt.Equals, start)
+	s.now = s.now.Add(7 * time.Second)
+	_ = s.heartbeat(stamp, 0)
+	c.Assert(s.core.Contact(s.now), qt.Equals, start.Add(50*time.Millisecond))
+	c.Assert(s.core.Current(s.now), qt.Equals, start.Add(50*time.Millisecond))
+}
+
+// Guards against a member that has contact again and answers from a state that has not caught up yet.
+func TestCurrentWaitsForCommittedEntries(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(c, journaler.Recovered{})
+	start := s.now
+	stamp := s.heartbeat(replicator.Stamp{}, 2)
+	s.now = s.now.Add(50 * time.Millisecond)
+	stamp = s.heartbeat(stamp, 2)
+	c.Assert(s.core.Contact(s.now), qt.Equals, start)
+	c.Assert(s.core.Current(s.now).IsZero(), qt.IsTrue)
+	entries := []journaler.Entry{
+		{
+			Index: 1,
+			Term:  5,
+		},
+		{
+			Index: 2,
+			Term:  5,
+		},
+	}
+	s.now = s.now.Add(50 * time.Millisecond)
+	_ = s.heartbeat(stamp, 2, entries...)
+	c.Assert(s.core.Current(s.now), qt.Equals, start.Add(50*time.Millisecond))
+}
+
+// Guards against the stamp of an earlier process of the same member, whose clock started elsewhere.
+func TestStampOfAnotherProcessIsNoContact(t *testing.T) {
+	c := qt.New(t)
+	s := newSingle(c, journaler.Recovered{})
+	stamp := s.heartbeat(replicator.Stamp{}, 0)
+	stamp.Process++
+	stamp.At += time.Hour
+	_ = s.heartbeat(stamp, 0)
+	c.Assert(s.core.Contact(s.now).IsZero(), qt.IsTrue)
+}
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -11,14 +11,13 @@
 	a := m.Append
 	answer := AppendAnswerMsg{
 		Round: a.Round,
+		Stamp: r.stamp(now),
 	}
 	if match, ok := r.match(a); ok {
 		answer.Match = match
 		r.commitTo(max(r.commit, min(a.Commit, match)))
 		r.finishRecovery(a, match)
-		if at := now.Add(-a.MajorityAge); a.Committed <= r.commit && at.After(r.current) {
-			r.current = at
-		}
+		r.noteContact(a)
 	} else {
 		answer.Rejected = true
 		answer.Hint = r.hint(a)
@@ -30,6 +29,28 @@
 	})
 }
 
+// stamp returns now on the clock of this process.
+func (r *Replicator) stamp(now time.Time) Stamp {
+	return Stamp{
+		Process: r.recovery.process,
+		At:      r.since(now),
+	}
+}
+
+// noteContact dates what the leader says by the last answer of this process that the leader had got before it.
+func (r *Replicator) noteContact(a *AppendMsg) {
+	if a.Echo.Process != r.recovery.process {
+		return
+	}
+	at := r.started.Add(a.Echo.At - a.MajorityAge)
+	if at.After(r.contact) {
+		r.contact = at
+	}
+	if a.Committed <= r.commit && at.After(r.current) {
+		r.current = at
+	}
+}
+
 // match adds the entries of a to the log and returns the index up to which the log equals the leader's.
 func (r *Replicator) match(a *AppendMsg) (uint64, bool) {
 	prev, entries := a.PrevIndex, a.Entries
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -28,6 +28,8 @@
 	// was one.
 	acked    time.Duration
 	answered bool
+	// echo is the stamp of the member's last answer.
+	echo Stamp
 	// outstanding is the number of the message with entries, or a part of a snapshot, that waits for its answer.
 	outstanding uint64
 	sentAt      time.Time
@@ -121,6 +123,7 @@
 			Commit:      r.commit,
 			Committed:   r.committed(),
 			MajorityAge: r.majorityAge(now),
+			Echo:        p.echo,
 			RecoverTo:   r.recoverTo(now, p),
 			Recovery:    p.recovery,
 		},
@@ -145,6 +148,7 @@
 			Commit:      min(r.commit, prev),
 			Committed:   r.committed(),
 			MajorityAge: r.majorityAge(now),
+			Echo:        p.echo,
 			RecoverTo:   r.recoverTo(now, p),
 			Recovery:    p.recovery,
 		},
@@ -162,14 +166,13 @@
 	r.send(Message{
 		To: name,
 		Snapshot: &SnapshotMsg{
-			Round:       round,
-			Index:       s.Index,
-			Term:        s.Term,
-			Members:     s.Members,
-			Offset:      p.received,
-			Data:        s.Data[p.received:end],
-			Done:        end == uint64(len(s.Data)),
-			MajorityAge: r.majorityAge(now),
+			Round:   round,
+			Index:   s.Index,
+			Term:    s.Term,
+			Members: s.Members,
+			Offset:  p.received,
+			Data:    s.Data[p.received:end],
+			Done:    end == uint64(len(s.Data)),
 		},
 	})
 }
@@ -188,6 +191,7 @@
 	if !ok {
 		return
 	}
+	p.echo = a.Stamp
 	if !r.noteRecovery(now, p, a) {
 		return
 	}
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -58,15 +58,26 @@
 	Committed uint64
 	// MajorityAge is the time since the leader last had contact with a majority.
 	MajorityAge time.Duration
+	// Echo is the stamp of the member's last answer that the leader had got.
+	Echo Stamp
 	// RecoverTo is the index from which the member whose AppendAnswerMsg had Recovery takes part again, zero if it does
 	// not yet.
 	RecoverTo uint64
 	Recovery  uint64
 }
 
+// Stamp is a moment on the clock of one process of a member. A message may be delivered long after it was sent, so a member
+// dates what the leader says by the stamp that comes back with it.
+type Stamp struct {
+	Process uint64
+	// At is the time since the process started.
+	At time.Duration
+}
+
 // AppendAnswerMsg answers an AppendMsg or a SnapshotMsg.
 type AppendAnswerMsg struct {
 	Round Round
+	Stamp Stamp
 	// Match is the index up to which the log is known to equal the leader's and is durable.
 	Match uint64
 	// Rejected says that the entry before the new ones is missing or differs. Hint is an index that may match.
@@ -81,12 +92,11 @@
 
 // SnapshotMsg brings one part of a snapshot.
 type SnapshotMsg struct {
-	Round       Round
-	Index       uint64
-	Term        uint64
-	Members     []journaler.Member
-	Offset      uint64
-	Data        []byte
-	Done        bool
-	MajorityAge time.Duration
+	Round   Round
+	Index   uint64
+	Term    uint64
+	Members []journaler.Member
+	Offset  uint64
+	Data    []byte
+	Done    bool
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -151,11 +151,11 @@
 	case m.VoteAnswer != nil:
 		r.takeVoteAnswer(now, m)
 	case m.Append != nil:
-		if r.hear(now, m, m.Append.Round, m.Append.MajorityAge) {
+		if r.hear(now, m, m.Append.Round) {
 			r.takeAppend(now, m)
 		}
 	case m.Snapshot != nil:
-		if r.hear(now, m, m.Snapshot.Round, m.Snapshot.MajorityAge) {
+		if r.hear(now, m, m.Snapshot.Round) {
 			r.takeSnapshot(m)
 		}
 	case m.AppendAnswer != nil:
@@ -195,7 +195,7 @@
 }
 
 // hear takes note of the leader of the term, and reports false for a leader of an older term.
-func (r *Replicator) hear(now time.Time, m Message, round Round, majorityAge time.Duration) bool {
+func (r *Replicator) hear(now time.Time, m Message, round Round) bool {
 	if m.Term < r.term {
 		r.send(Message{
 			To: m.From,
@@ -212,9 +212,6 @@
 		r.follow(now, m.Term, m.From)
 	}
 	r.heard = now
-	if at := now.Add(-majorityAge); at.After(r.contact) {
-		r.contact = at
-	}
 	r.resetElection(now)
 	return true
 }
