Free keys only when no call can still take effect

Change: a span is given up only when the owner has taken it under its present fence or no grant is unanswered; the next life under the same ID gives up what it may have taken; a hold lapses only when no grant is in progress.

--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"bramleyline.example/bramleyline/allotter"
@@ -30,6 +31,11 @@
 	settleTime = 1200 * time.Millisecond
 	// deadAfter is the number of failed calls in a row from which a target takes no further keys.
 	deadAfter = 2
+	// announceTime is the longest time from the start of a target until its first announcement is in the registry. A
+	// heartbeat comes each second and may be some seconds late.
+	announceTime = 8 * time.Second
+	// earlierFence stands for all fences that an earlier leader used.
+	earlierFence = 0
 	// maxRanges bounds the ranges of one target: each has to be renewed by itself.
 	maxRanges = 12
 )
@@ -95,16 +101,21 @@
 	until time.Time
 	// doubt has, for each fence, when the last unanswered grant has lapsed at the latest.
 	doubt map[uint64]time.Time
-	// busy says that a call is in progress.
-	busy bool
+	// busy says that a call is in progress, granting that it is a grant.
+	busy     bool
+	granting bool
 	// failures counts the failed calls in a row; retryAt is when the next call may be made.
 	failures int
 	retryAt  time.Time
 	grants   map[spanKey]time.Time // when each granted span is to be renewed
 	// fenced has the fences that must not be used again at this life.
 	fenced map[uint64]bool
+	// confirmed has the spans that the life has taken under each fence.
+	confirmed map[uint64][]registrar.Span
 	// used has the fences that were sent to this life.
 	used map[uint64]bool
+	// dialed is when a grant was last sent over a new connection.
+	dialed time.Time
 }
 
 // New returns a Lessor for a leadership that began at elected.
@@ -121,6 +132,35 @@
 	}
 }
 
+// clean reports whether nothing that was sent to the life earlier can take effect after it gives up a span that it has
+// under fence: no grant is unanswered, or it has taken the span under the fence after those that are.
+func (h *holder) clean(now time.Time, fence uint64, s registrar.Span) bool {
+	if now.Before(h.doubt[fence]) {
+		return false
+	}
+	for _, c := range h.confirmed[fence] {
+		if c.From <= s.From && s.To <= c.To {
+			return true
+		}
+	}
+	return !h.doubtful(now)
+}
+
+// lapsed reports whether all that was ever granted to the life is over.
+func (h *holder) lapsed(now time.Time) bool {
+	return !h.granting && !now.Before(h.until)
+}
+
+// doubtful reports whether any grant without an answer may still take effect.
+func (h *holder) doubtful(now time.Time) bool {
+	for _, until := range h.doubt {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // lapse returns when a grant that took effect at t at the latest is over on the slowest clock.
 func (l *Lessor) lapse(t time.Time) time.Time {
 	return t.Add(l.settings.Hold + leaser.DefaultMargin(l.settings.Hold))
@@ -130,10 +170,11 @@
 	h, ok := l.holders[life]
 	if !ok {
 		h = &holder{
-			doubt:  make(map[uint64]time.Time),
-			grants: make(map[spanKey]time.Time),
-			fenced: make(map[uint64]bool),
-			used:   make(map[uint64]bool),
+			doubt:     make(map[uint64]time.Time),
+			grants:    make(map[spanKey]time.Time),
+			fenced:    make(map[uint64]bool),
+			used:      make(map[uint64]bool),
+			confirmed: make(map[uint64][]registrar.Span),
 		}
 		l.holders[life] = h
 	}
@@ -158,9 +199,11 @@
 	}
 	l.pruned = l.now
 	present := make(map[spanKey]bool)
+	fences := make(map[uint64]bool)
 	for service, ranges := range l.view.Registry.Ranges {
 		for _, r := range ranges {
 			present[keyOfRange(service, r)] = true
+			fences[r.Fence] = true
 		}
 	}
 	absent := func(k spanKey) bool { return !present[k] }
@@ -170,6 +213,10 @@
 	maps.DeleteFunc(l.released, func(k spanKey, _ releaseNote) bool { return absent(k) })
 	for life, h := range l.holders {
 		maps.DeleteFunc(h.grants, func(k spanKey, _ time.Time) bool { return absent(k) })
+		maps.DeleteFunc(h.confirmed, func(f uint64, _ []registrar.Span) bool { return !fences[f] })
+		maps.DeleteFunc(h.used, func(f uint64, _ bool) bool { return !fences[f] })
+		maps.DeleteFunc(h.fenced, func(f uint64, _ bool) bool { return !fences[f] })
+		maps.DeleteFunc(h.doubt, func(_ uint64, until time.Time) bool { return !l.now.Before(until) })
 		if !h.busy && !l.view.Registry.Alive(life) && !l.now.Before(h.until) {
 			delete(l.holders, life)
 		}
@@ -179,7 +226,7 @@
 // Answered takes the result of a call.
 func (l *Lessor) Answered(now time.Time, m AnsweredMsg) {
 	h := l.holder(m.Call.Life)
-	h.busy = false
+	h.busy, h.granting = false, false
 	key := keyOf(m.Call)
 	switch {
 	case m.Answered:
@@ -208,9 +255,13 @@
 }
 
 func (l *Lessor) granted(now time.Time, h *holder, key spanKey, m AnsweredMsg) {
-	switch {
-	case m.NotSent:
+	if m.NotSent {
 		return
+	}
+	if !m.Call.SameConnection {
+		h.dialed = now
+	}
+	switch {
 	case !m.Answered:
 		until := l.lapse(now)
 		h.doubt[key.fence] = later(h.doubt[key.fence], until)
@@ -220,6 +271,7 @@
 	h.until = later(h.until, l.lapse(now))
 	switch {
 	case m.OK:
+		h.confirm(key)
 		h.grants[key] = now.Add(l.settings.Hold / renewals)
 	case m.Fenced:
 		h.fenced[key.fence] = true
@@ -228,6 +280,12 @@
 	}
 }
 
+func (h *holder) confirm(key spanKey) {
+	if !slices.Contains(h.confirmed[key.fence], key.span) {
+		h.confirmed[key.fence] = append(h.confirmed[key.fence], key.span)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/lessor/service.go
+++ b/lessor/service.go
@@ -63,6 +63,8 @@
 		Sums:    l.sums(service),
 		Targets: targets,
 	}
+	// No earlier leader has granted anything.
+	l.refenced[service] = true
 	l.change(registrar.Change{
 		Grant: &registrar.GrantMsg{
 			Service: service,
@@ -85,6 +87,8 @@
 		// What an earlier leader granted may be valid for one more hold.
 		h := l.holder(r.Owner)
 		h.until = later(h.until, l.lapse(l.elected))
+		h.doubt[earlierFence] = h.until
+		h.dialed = later(h.dialed, l.elected)
 		if l.view.Registry.Alive(r.Owner) {
 			grants = append(grants, registrar.Grant{
 				From:  r.From,
@@ -115,22 +119,26 @@
 
 // judge decides what becomes of one range, and makes the calls that its owner needs.
 func (l *Lessor) judge(service string, r registrar.Range) verdict {
-	if r.Owner.ID == "" || !l.view.Registry.Alive(r.Owner) {
+	if r.Owner.ID == "" {
 		return isFree
 	}
 	h := l.holder(r.Owner)
 	key := keyOfRange(service, r)
+	if !l.view.Registry.Alive(r.Owner) {
+		return l.judgeEnded(h, r, key)
+	}
 	t := l.view.Registry.Targets[r.Owner.ID]
 	if r.Releasing {
 		return l.judgeReleasing(h, t, r, key)
 	}
-	if h.failures >= deadAfter && !l.now.Before(h.until) {
+	if h.failures >= deadAfter && h.lapsed(l.now) {
 		return isFree
 	}
-	if l.leaving(t) {
+	clean := h.clean(l.now, r.Fence, key.span)
+	if clean && l.leaving(t) {
 		return isLeaving
 	}
-	if h.fenced[r.Fence] {
+	if !clean && h.failures == 0 && l.now.Before(h.doubt[r.Fence]) && l.leaving(t) || h.fenced[r.Fence] {
 		l.raise(service, r)
 		return isHeld
 	}
@@ -143,14 +151,28 @@
 	return isHeld
 }
 
+// judgeEnded decides on a range whose owner's process has ended. Its next life under the same ID may have taken a grant
+// that was meant for the one before, so it has to give that up first.
+func (l *Lessor) judgeEnded(h *holder, r registrar.Range, key spanKey) verdict {
+	next, ok := l.view.Registry.Targets[r.Owner.ID]
+	if !ok || h.lapsed(l.now) || !h.granting && l.joined[next.Life].Sub(h.dialed) >= announceTime {
+		return isFree
+	}
+	if _, released := l.released[key]; released && !h.granting && !h.doubtful(l.now) {
+		return isFree
+	}
+	l.call(l.holder(next.Life), next, key, nil)
+	return isHeld
+}
+
 func (l *Lessor) judgeReleasing(h *holder, t registrar.Target, r registrar.Range, key spanKey) verdict {
-	doubtful := l.now.Before(h.doubt[key.fence])
+	clean := h.clean(l.now, key.fence, key.span)
 	_, released := l.released[key]
 	switch {
-	case released && !doubtful, !l.now.Before(h.until):
+	case released && clean, h.lapsed(l.now):
 		return isFree
-	case doubtful && h.failures == 0 && !h.busy:
-		// An unanswered grant may still take effect after the release; under a new fence it cannot.
+	case !clean && h.failures == 0 && !h.busy:
+		// An earlier grant without an answer may still take effect after the release; under a new fence it cannot.
 		l.raise(key.service, r)
 	case !released:
 		l.call(h, t, key, nil)
@@ -178,7 +200,7 @@
 	if h.busy || l.now.Before(h.retryAt) {
 		return
 	}
-	h.busy = true
+	h.busy, h.granting = true, grant != nil
 	l.effects.Calls = append(l.effects.Calls, CallMsg{
 		Life:    t.Life,
 		Addr:    t.Addr,
@@ -190,7 +212,7 @@
 		// A fence is sent over a new connection only once.
 		SameConnection: grant != nil && h.used[key.fence],
 	})
-	if grant != nil {
+	if grant != nil && !h.used[key.fence] {
 		h.used[key.fence] = true
 	}
 }
@@ -274,11 +296,6 @@
 func (l *Lessor) release(service string, leaving []registrar.Range) {
 	var spans []registrar.Span
 	for _, r := range leaving {
-		if h := l.holder(r.Owner); l.now.Before(h.doubt[r.Fence]) {
-			// An unanswered grant may still take effect after the release; under a new fence it cannot.
-			l.raise(service, r)
-			continue
-		}
 		spans = append(spans, registrar.Span{
 			From: r.From,
 			To:   r.To,
@@ -326,7 +343,7 @@
 	var spans []registrar.Span
 	for _, m := range a.Plan(maxMoves - moving) {
 		r, ok := registrar.Find(ranges, m.Span.From)
-		if !ok || l.now.Before(l.holder(r.Owner).doubt[r.Fence]) || count[m.To] >= maxRanges {
+		if !ok || !l.holder(r.Owner).clean(l.now, r.Fence, m.Span) || count[m.To] >= maxRanges {
 			continue
 		}
 		count[m.To]++
