--- a/director/director.go
+++ b/director/director.go
@@ -32,7 +32,7 @@
 const (
 	// electionTimeout trades the time without a leader against heartbeats between the data centres: an eighth of it is
 	// the interval of heartbeats.
-	electionTimeout = 800 * time.Millisecond
+	electionTimeout = 500 * time.Millisecond
 	// registerWait is the pause between two attempts to register this host.
 	registerWait = 300 * time.Millisecond
 	// registerTimeout bounds one attempt.
