Refuse a keyed request that would wait beyond its objective

Cause: under overload a target's queue makes every answer late, at a third of its worth, while the number of answers stays the same.

Change: the owner of a key gets a request only if the expected wait leaves time for half of its work before the objective; short waits are always allowed.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -236,8 +236,9 @@
 	if t.Cold && !x.takeCold(now, v, t) {
 		return nil, x.giveUp(reasonOverloaded, returnNoOwner)
 	}
-	e := x.f.opts.Selector.Estimate(now, t, x.f.workOf(x.route.Name).expected())
-	if left := x.limit.Sub(now); e.Wait >= left {
+	work := x.f.workOf(x.route.Name).expected()
+	e := x.f.opts.Selector.Estimate(now, t, work)
+	if left := min(x.limit.Sub(now), max(work/2, x.route.Objective-now.Sub(x.req.Arrived)-work/2)); e.Wait >= left {
 		return nil, x.giveUp(reasonOverloaded, min(e.Wait-left+returnNoTarget, returnNoOwner))
 	}
 	return t, nil
