Refuse requests for owners that do not answer

Change: after three attempts in a row without an answer the owner of a key is tried every 100 ms, and other requests are refused at once; a caller whom a target with free slots turned away may come back after 10 ms.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -25,6 +25,8 @@
 	reasonNoOwner    = "noOwner"
 	reasonNoTarget   = "noTarget"
 	reasonOverloaded = "overloaded"
+	// reasonUnreachable is for an owner that did not answer the last attempts of this host.
+	reasonUnreachable = "ownerUnreachable"
 	reasonDeadline   = "deadline"
 	reasonUnknown    = "outcomeUnknown"
 	reasonCallerLeft = "callerLeft"
@@ -45,6 +47,8 @@
 	returnNoOwner  = 500 * time.Millisecond
 	returnNoTarget = 200 * time.Millisecond
 	returnNoTable  = time.Second
+	// returnAtOnce is for callers whom a target turned away although it could have served them.
+	returnAtOnce = 10 * time.Millisecond
 	// connectionShare is the share of a target's connections that one host may use, so that all of them together stay
 	// within the limit when callers are unevenly spread.
 	connectionShare = 3
@@ -66,6 +70,8 @@
 	maybeRun bool
 	lastErr  string
 	result   string
+	// comeBack is when a caller may return after the last attempt was turned away.
+	comeBack time.Duration
 }
 
 func (x *exchange) run(ctx context.Context) *acceptor.Answer {
@@ -138,7 +144,7 @@
 			return x.timedOut(ctx)
 		}
 		if !again || len(x.tried) >= max(1, x.route.MaxAttempts) || time.Until(x.limit) < minAttempt {
-			return x.giveUp(x.result, returnNoTarget)
+			return x.giveUp(x.result, x.comeBack)
 		}
 	}
 }
@@ -233,6 +239,9 @@
 
 // admit refuses a request that its owner could not begin in time.
 func (x *exchange) admit(now time.Time, v *viewer.View, t *viewer.Target) (*viewer.Target, *acceptor.Answer) {
+	if x.f.opts.Selector.Avoided(now, t.Life) {
+		return nil, x.giveUp(reasonUnreachable, returnNoOwner)
+	}
 	if t.Cold && !x.takeCold(now, v, t) {
 		return nil, x.giveUp(reasonOverloaded, returnNoOwner)
 	}
@@ -263,6 +272,7 @@
 	sel := x.f.opts.Selector
 	start := time.Now()
 	x.sends++
+	x.comeBack = returnNoTarget
 	if !containsLife(x.tried, t.Life) {
 		x.tried = append(x.tried, t.Life)
 	}
@@ -392,6 +402,10 @@
 func (x *exchange) turnedAway(ctx context.Context, t *viewer.Target, r Reply) bool {
 	if !r.Misdirected {
 		x.fault(t, reasonOverloaded, "target turned the request away")
+		if r.Load != nil && r.Load.Running < r.Load.Slots {
+			// It has slots free and turns work away at random.
+			x.comeBack = returnAtOnce
+		}
 		return !x.service.Keyed
 	}
 	x.fault(t, sender.ReasonStaleRoute, "target is another one or does not hold the key")
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -27,6 +27,10 @@
 	avoidTime = 400 * time.Millisecond
 	// maxAvoid bounds that time when it doubles with each further failure.
 	maxAvoid = 3 * time.Second
+	// brokenLimit is the number of attempts in a row without an answer from which the owner of a key seems to be gone, and
+	// probeInterval the time between the requests that are sent to it nevertheless.
+	brokenLimit   = 3
+	probeInterval = 100 * time.Millisecond
 	// localShare is the share of the time to the objective within which a target of the own data centre is good enough.
 	localShare = 0.75
 	// remotePenalty is the factor on the expected time at a target of another data centre, for the bytes between them.
@@ -69,6 +73,7 @@
 	failing  float64
 	broken   int
 	avoid    time.Time
+	probeAt  time.Time
 	usedAt   time.Time
 	// coldSends are the times of the latest requests sent while the target was cold.
 	coldSends []time.Time
@@ -234,12 +239,20 @@
 	}
 }
 
-// Avoided reports whether the last attempts at a target brought no answer, so that it may have ended.
+// Avoided reports whether the last attempts at a target brought no answer, so that it seems to be gone or cut off. Now
+// and then it says no for one request, which finds out whether the target is back.
 func (s *Selector) Avoided(now time.Time, life registrar.Life) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, ok := s.stats[life]
-	return ok && now.Before(st.avoid)
+	if !ok || st.broken < brokenLimit {
+		return false
+	}
+	if now.Before(st.probeAt) {
+		return true
+	}
+	st.probeAt = now.Add(probeInterval)
+	return false
 }
 
 // Forget drops what is known of targets that were not used since before.
