Share the connections to a target among all hosts

Change: a host uses its part of 0.7 of the connections and refuses what would need more.

Tests of forwarder, registrar and platform land with this: lost answers, truth of refusals, crossed and cut answers, moves of keys, cold targets, announcements and configurations of another writer, calls at targets.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -27,9 +27,9 @@
 	reasonOverloaded = "overloaded"
 	// reasonUnreachable is for an owner that did not answer the last attempts of this host.
 	reasonUnreachable = "ownerUnreachable"
-	reasonDeadline   = "deadline"
-	reasonUnknown    = "outcomeUnknown"
-	reasonCallerLeft = "callerLeft"
+	reasonDeadline    = "deadline"
+	reasonUnknown     = "outcomeUnknown"
+	reasonCallerLeft  = "callerLeft"
 )
 
 const (
@@ -49,9 +49,11 @@
 	returnNoTable  = time.Second
 	// returnAtOnce is for callers whom a target turned away although it could have served them.
 	returnAtOnce = 10 * time.Millisecond
-	// connectionShare is the share of a target's connections that one host may use, so that all of them together stay
-	// within the limit when callers are unevenly spread.
-	connectionShare = 3
+	// connectionShare is the share of a target's connections that all hosts together use: a target allows fewer while its
+	// queue is long, and control hosts need one.
+	connectionShare = 0.7
+	// minConnections is what a host may use where there are many hosts.
+	minConnections = 2
 )
 
 // exchange is one caller's request on its way.
@@ -247,6 +249,9 @@
 	}
 	work := x.f.workOf(x.route.Name).expected()
 	e := x.f.opts.Selector.Estimate(now, t, work)
+	if e.InFlight >= x.connections() {
+		return nil, x.giveUp(reasonOverloaded, returnNoTarget)
+	}
 	if left := min(x.limit.Sub(now), max(work/2, x.route.Objective-now.Sub(x.req.Arrived)-work/2)); e.Wait >= left {
 		return nil, x.giveUp(reasonOverloaded, min(e.Wait-left+returnNoTarget, returnNoOwner))
 	}
@@ -340,7 +345,7 @@
 		EchoOptional: true,
 		Undelimited:  true,
 		Deadline:     x.limit,
-		Connections:  max(1, x.service.Connections/connectionShare),
+		Connections:  x.connections(),
 	})
 	if fault != nil {
 		return nil, nil, fault
@@ -364,6 +369,16 @@
 	return resp, body, nil
 }
 
+// connections returns how many connections to one target this host may have: the hosts together stay below the number at
+// which the target resets further ones.
+func (x *exchange) connections() int {
+	hosts := 1
+	if v, _ := x.f.opts.View(); v != nil {
+		hosts = max(1, v.Hosts)
+	}
+	return max(minConnections, int(connectionShare*float64(x.service.Connections))/hosts)
+}
+
 func readAll(r *sender.Response) ([]byte, error) {
 	if r.Length < 0 {
 		return io.ReadAll(r)
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,463 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/acceptor"
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/selector"
+	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/viewer"
+)
+
+// bed is a forwarder with targets on loopback addresses.
+type bed struct {
+	c       *qt.C
+	f       *Forwarder
+	builder viewer.Builder
+	table   *matcher.Table
+	state   applier.State
+
+	mu      sync.Mutex
+	view    *viewer.View
+	changed chan struct{}
+}
+
+func newBed(c *qt.C) *bed {
+	b := bed{
+		c:       c,
+		changed: make(chan struct{}),
+	}
+	split := func(service string) []matcher.Part {
+		return []matcher.Part{{
+			Service: service,
+			Weight:  1,
+		}}
+	}
+	b.table = matcher.New(1, []matcher.Route{
+		{
+			Name:        "lookup",
+			Host:        "shop.example",
+			Prefix:      "/lookup/",
+			Repeatable:  true,
+			Timeout:     time.Second,
+			Objective:   500 * time.Millisecond,
+			MaxAttempts: 2,
+			Split:       split("desk"),
+		},
+		{
+			Name:        "order",
+			Host:        "shop.example",
+			Prefix:      "/order/",
+			Timeout:     time.Second,
+			Objective:   500 * time.Millisecond,
+			MaxAttempts: 2,
+			Split:       split("desk"),
+		},
+		{
+			Name:      "tally",
+			Host:      "shop.example",
+			Prefix:    "/tally/",
+			Timeout:   time.Second,
+			Objective: 500 * time.Millisecond,
+			Split:     split("tally"),
+		},
+	}, map[string]matcher.Service{
+		"desk": {
+			Name:        "desk",
+			Connections: 100,
+			ColdRate:    10,
+		},
+		"tally": {
+			Name:        "tally",
+			Connections: 100,
+			Keyed:       true,
+		},
+	}, matcher.Limits{})
+	b.builder.Decode = func(registrar.Document) (*matcher.Table, error) { return b.table, nil }
+	b.f = New(Options{
+		View:     b.current,
+		Codec:    testCodec{},
+		Sender:   sender.New(nil),
+		Selector: &selector.Selector{},
+		Log:      log.New(io.Discard),
+		Limits: Limits{
+			RetryShare: 0.2,
+			RetrySlack: 50,
+			ColdFactor: 1,
+			DrainTime:  100 * time.Millisecond,
+			OutTime:    100 * time.Millisecond,
+		},
+	})
+	return &b
+}
+
+func (b *bed) current() (*viewer.View, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view, b.changed
+}
+
+// commit applies a change and publishes the view.
+func (b *bed) commit(changes ...registrar.Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range changes {
+		b.state.Index++
+		b.state.Registry = b.state.Registry.Apply(b.state.Index, c)
+	}
+	v, err := b.builder.Build(&b.state, time.Now())
+	b.c.Assert(err, qt.IsNil)
+	b.view = v
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+func (b *bed) putTable() {
+	b.commit(registrar.Change{
+		PutTable: &registrar.PutTableMsg{
+			Version: 1,
+		},
+	})
+}
+
+// target starts a target that answers with h and echoes the identity of requests.
+func (b *bed) target(id, service string, h http.HandlerFunc) registrar.Target {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testRequest, r.Header.Get(testRequest))
+		h(w, r)
+	}))
+	b.c.Cleanup(s.Close)
+	return b.announce(id, service, netip.MustParseAddrPort(s.Listener.Addr().String()))
+}
+
+func (b *bed) announce(id, service string, addr netip.AddrPort) registrar.Target {
+	t := registrar.Target{
+		Life: registrar.Life{
+			ID: id,
+		},
+		Service: service,
+		Addr:    addr,
+		Slots:   4,
+	}
+	b.commit(registrar.Change{
+		Announce: &t,
+	})
+	return t
+}
+
+func (b *bed) own(service, id string) {
+	b.commit(registrar.Change{
+		Grant: &registrar.GrantMsg{
+			Service: service,
+			Grants: []registrar.Grant{{
+				From: 0,
+				To:   65535,
+				Owner: registrar.Life{
+					ID: id,
+				},
+			}},
+		},
+	})
+}
+
+func (b *bed) send(ctx context.Context, method, path string, header ...string) *acceptor.Answer {
+	h := http.Header{
+		testRequest: {"r1"},
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		h.Set(header[i], header[i+1])
+	}
+	return b.f.Handle(ctx, &acceptor.Request{
+		Method:  method,
+		URI:     path,
+		Path:    path,
+		Host:    "shop.example",
+		Header:  h,
+		Body:    []byte("one board"),
+		Arrived: time.Now(),
+	})
+}
+
+func ok(n *atomic.Int32, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+// hangUp reads the request and ends the connection without an answer.
+func hangUp(n *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+}
+
+// Guards against an order that runs twice, and against a promise that it has not run, when its answer is lost.
+func TestOrderWithLostAnswerIsNotRepeatedAndNotCalledNotRun(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	var n atomic.Int32
+	b.target("a", "desk", hangUp(&n))
+	b.target("b", "desk", hangUp(&n))
+	a := b.send(context.Background(), http.MethodPost, "/order/1")
+	c.Assert(a.Status, qt.Equals, http.StatusBadGateway)
+	c.Assert(n.Load(), qt.Equals, int32(1))
+}
+
+// Guards against a lookup that is given up although another target can answer it.
+func TestLookupWithLostAnswerIsRepeatedElsewhere(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	var broken, whole atomic.Int32
+	b.target("a", "desk", hangUp(&broken))
+	b.target("b", "desk", ok(&whole, "three boards"))
+	for range 10 {
+		a := b.send(context.Background(), http.MethodGet, "/lookup/1")
+		c.Assert(a.Status, qt.Equals, http.StatusOK)
+		c.Assert(string(a.Body), qt.Equals, "three boards")
+	}
+}
+
+// Guards against an order that is lost because one target is full, and against a refusal without a time to come back.
+func TestOrderThatDidNotRunGoesElsewhereOrIsRefused(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	full := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testOutcome, "notRun")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	b.target("a", "desk", full)
+	a := b.send(context.Background(), http.MethodPost, "/order/1")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(a.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	var n atomic.Int32
+	b.target("b", "desk", ok(&n, "done"))
+	for range 5 {
+		a = b.send(context.Background(), http.MethodPost, "/order/1")
+		c.Assert(a.Status, qt.Equals, http.StatusOK)
+	}
+	c.Assert(n.Load(), qt.Equals, int32(5))
+}
+
+// Guards against an answer of another request that is taken for this one's.
+func TestAnswerOfAnotherRequestIsNotDelivered(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	b.target("a", "desk", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testRequest, "another")
+		_, _ = io.WriteString(w, "not yours")
+	})
+	a := b.send(context.Background(), http.MethodPost, "/order/1")
+	c.Assert(a.Status, qt.Equals, http.StatusBadGateway)
+	c.Assert(a.Body, qt.HasLen, 0)
+}
+
+// Guards against an answer that was cut and is delivered as a whole one.
+func TestCutAnswerIsNotDelivered(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	b.target("a", "desk", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+	})
+	a := b.send(context.Background(), http.MethodPost, "/order/1")
+	c.Assert(a.Status, qt.Equals, http.StatusBadGateway)
+	c.Assert(a.Body, qt.HasLen, 0)
+}
+
+// Guards against work that goes on after its caller has left: the connection to the target ends.
+func TestCallerThatLeavesEndsTheAttempt(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	started := make(chan struct{})
+	ended := make(chan struct{})
+	b.target("a", "desk", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	answers := make(chan *acceptor.Answer, 1)
+	go func() { answers <- b.send(ctx, http.MethodGet, "/lookup/1") }()
+	<-started
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		c.Fatal("the target still works")
+	}
+	c.Assert((<-answers).Abort, qt.IsTrue)
+}
+
+// Guards against refusals while a key is being moved: the request waits for the next owner, and never goes to the one
+// that gives the key up.
+func TestRequestWaitsForTheNextOwnerOfItsKey(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	var old, next atomic.Int32
+	b.target("a", "tally", ok(&old, "old"))
+	b.target("b", "tally", ok(&next, "next"))
+	b.own("tally", "a")
+	b.commit(registrar.Change{
+		Release: &registrar.ReleaseMsg{
+			Service: "tally",
+			Spans: []registrar.Span{{
+				From: 0,
+				To:   65535,
+			}},
+			Releasing: true,
+		},
+	})
+	answers := make(chan *acceptor.Answer, 1)
+	go func() { answers <- b.send(context.Background(), http.MethodPost, "/tally/1", testKey, "7") }()
+	time.Sleep(20 * time.Millisecond)
+	b.own("tally", "b")
+	a := <-answers
+	c.Assert(a.Status, qt.Equals, http.StatusOK)
+	c.Assert(string(a.Body), qt.Equals, "next")
+	c.Assert(old.Load(), qt.Equals, int32(0))
+}
+
+// Guards against a caller that is told that its page does not exist while the host only does not know it yet.
+func TestUnknownRouteIsNotFoundOnlyWithATable(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	a := b.send(context.Background(), http.MethodGet, "/lookup/1")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	b.putTable()
+	a = b.send(context.Background(), http.MethodGet, "/nowhere/")
+	c.Assert(a.Status, qt.Equals, http.StatusNotFound)
+}
+
+// Guards against work for targets that are leaving, or whose data centre was taken out.
+func TestDrainingTargetGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	var n atomic.Int32
+	tg := b.target("a", "desk", ok(&n, "done"))
+	tg.Draining = true
+	b.commit(registrar.Change{
+		Announce: &tg,
+	})
+	a := b.send(context.Background(), http.MethodPost, "/order/1")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(n.Load(), qt.Equals, int32(0))
+}
+
+// Guards against a cold target that gets more than it bears, also where it is the only one.
+func TestColdTargetGetsNoMoreThanItBears(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	var n atomic.Int32
+	tg := b.target("a", "desk", ok(&n, "done"))
+	tg.Cold, tg.Seq = true, 1
+	b.commit(registrar.Change{
+		Announce: &tg,
+	})
+	served := 0
+	for range 50 {
+		if b.send(context.Background(), http.MethodGet, "/lookup/1").Status == http.StatusOK {
+			served++
+		}
+	}
+	c.Assert(served, qt.Equals, int(n.Load()))
+	c.Assert(served > 0 && served <= 10, qt.IsTrue, qt.Commentf("%d", served))
+}
+
+// Guards against a request that hangs where nobody listens: it is answered at once, with the truth that it has not run.
+func TestOwnerThatIsGoneIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	c.Assert(ln.Close(), qt.IsNil)
+	b.announce("a", "tally", addr)
+	b.own("tally", "a")
+	start := time.Now()
+	a := b.send(context.Background(), http.MethodPost, "/tally/1", testKey, "7")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against shares of a split route that are far from their weights after few requests.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	c := qt.New(t)
+	f := New(Options{})
+	route := matcher.Route{
+		Name: "split",
+		Split: []matcher.Part{
+			{
+				Service: "a",
+				Weight:  90,
+			},
+			{
+				Service: "b",
+				Weight:  10,
+			},
+			{
+				Service: "c",
+			},
+		},
+	}
+	seen := make(map[string]int)
+	for range 100 {
+		seen[f.serviceOf(&route)]++
+	}
+	c.Assert(seen["c"], qt.Equals, 0)
+	c.Assert(seen["b"] >= 9 && seen["b"] <= 11, qt.IsTrue, qt.Commentf("%v", seen))
+}
+
+// Guards against headers of one connection that reach another.
+func TestHeadersOfOneConnectionAreNotForwarded(t *testing.T) {
+	c := qt.New(t)
+	got := forwarded(http.Header{
+		"Connection":  {"keep-alive, X-Hop"},
+		"Keep-Alive":  {"timeout=5"},
+		"X-Hop":       {"1"},
+		"X-End":       {"2"},
+		testDeadline:  {"100"},
+		"Te":          {"trailers"},
+		"Content-Len": {"3"},
+	}, testCodec{}.Own)
+	names := make([]string, 0, len(got))
+	for name := range got {
+		names = append(names, name)
+	}
+	c.Assert(strings.Contains(fmt.Sprint(names), "X-End"), qt.IsTrue)
+	c.Assert(names, qt.HasLen, 2)
+}
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,202 @@
+package registrar
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+)
+
+func target(id string, born int64, port uint16, seq uint64) Target {
+	return Target{
+		Life: Life{
+			ID:   id,
+			Born: time.UnixMilli(born).UTC(),
+		},
+		Service:    "tally",
+		Addr:       netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port),
+		DataCentre: "a",
+		Slots:      4,
+		Seq:        seq,
+	}
+}
+
+// Guards against a late heartbeat of an ended life that displaces the living one at its address.
+func TestLateAnnouncementOfAnEndedLifeChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	r = r.Announce(1, target("old", 100, 80, 5))
+	r = r.Announce(2, target("new", 200, 80, 1))
+	c.Assert(r.Targets, qt.HasLen, 1)
+	c.Assert(r.Changes(target("old", 100, 80, 6)), qt.IsFalse)
+	r = r.Announce(3, target("old", 100, 80, 6))
+	c.Assert(r.Targets["new"].Born, qt.Equals, time.UnixMilli(200).UTC())
+	c.Assert(r.Targets, qt.HasLen, 1)
+}
+
+// Guards against a target that restarts under its ID and is taken for the life before, with its counts and its drain.
+func TestNextLifeUnderTheSameIDStartsAnew(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	old := target("a", 100, 80, 50)
+	old.Draining = true
+	r = r.Announce(1, old)
+	r = r.Announce(2, target("a", 200, 80, 1))
+	c.Assert(r.Targets["a"].Draining, qt.IsFalse)
+	c.Assert(r.Alive(old.Life), qt.IsFalse)
+	r = r.Announce(3, target("a", 100, 80, 51))
+	c.Assert(r.Targets["a"].Born, qt.Equals, time.UnixMilli(200).UTC())
+}
+
+// Guards against a drain that a heartbeat overtakes: it is final for its life.
+func TestDrainIsFinal(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	r = r.Announce(1, target("a", 100, 80, 1))
+	r = r.Leave(2, "a")
+	cold := target("a", 100, 80, 9)
+	cold.Cold = true
+	r = r.Announce(3, cold)
+	c.Assert(r.Targets["a"].Draining, qt.IsTrue)
+}
+
+// Guards against a table that goes back, and against another text under the number in force.
+func TestTableOnlyGoesForward(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	r = r.PutTable(1, 7, []byte("seven"))
+	r = r.PutTable(2, 5, []byte("five"))
+	r = r.PutTable(3, 7, []byte("other"))
+	c.Assert(string(r.Table.Body), qt.Equals, "seven")
+	r = r.PutTable(4, 9, []byte("nine"))
+	c.Assert(r.Table.Version, qt.Equals, uint64(9))
+}
+
+// Guards against ranges that overlap or leave gaps, and against a fence that does not rise, over random changes; and
+// against a snapshot that differs from the state.
+func TestRangesStayWholeAndFencesRise(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 20 {
+		var r Registry
+		fences := make([]uint64, 1<<16)
+		r = r.Grant(1, "tally", []Grant{{
+			From:  0,
+			To:    65535,
+			Owner: target("a", 1, 80, 1).Life,
+		}})
+		for index := uint64(2); index < 60; index++ {
+			from := uint16(rng.IntN(1 << 16))
+			to := from + uint16(rng.IntN(int(65535-from)+1))
+			if rng.IntN(3) == 0 {
+				r = r.Release("tally", []Span{{
+					From: from,
+					To:   to,
+				}}, rng.IntN(2) == 0)
+				continue
+			}
+			r = r.Grant(index, "tally", []Grant{{
+				From:  from,
+				To:    to,
+				Owner: target(fmt.Sprint(rng.IntN(5)), 1, 80, 1).Life,
+			}})
+		}
+		next := 0
+		for _, rg := range r.Ranges["tally"] {
+			c.Assert(int(rg.From), qt.Equals, next)
+			next = int(rg.To) + 1
+			for k := int(rg.From); k <= int(rg.To); k++ {
+				c.Assert(rg.Fence >= fences[k], qt.IsTrue)
+				fences[k] = rg.Fence
+			}
+		}
+		c.Assert(next, qt.Equals, 1<<16)
+		b, err := cbor.Marshal(r.ToWire())
+		c.Assert(err, qt.IsNil)
+		var w Wire
+		c.Assert(cbor.Unmarshal(b, &w), qt.IsNil)
+		c.Assert(w.Registry().Ranges, qt.DeepEquals, r.Ranges)
+	}
+}
+
+// Guards against a change that the log does not keep whole.
+func TestChangesSurviveTheirEncoding(t *testing.T) {
+	c := qt.New(t)
+	tg := target("a", 100, 80, 3)
+	life := tg.Life
+	for _, change := range []Change{
+		{
+			PutTable: &PutTableMsg{
+				Version: 3,
+				Body:    []byte("x"),
+			},
+		},
+		{
+			Announce: &tg,
+		},
+		{
+			Leave: &LeaveMsg{
+				ID: "a",
+			},
+		},
+		{
+			Remove: &life,
+		},
+		{
+			Grant: &GrantMsg{
+				Service: "tally",
+				Grants: []Grant{{
+					From:     1,
+					To:       2,
+					Owner:    life,
+					Handover: "h",
+				}},
+			},
+		},
+		{
+			Release: &ReleaseMsg{
+				Service: "tally",
+				Spans: []Span{{
+					From: 1,
+					To:   2,
+				}},
+				Releasing: true,
+			},
+		},
+	} {
+		b, err := cbor.Marshal(change.ToWire())
+		c.Assert(err, qt.IsNil)
+		var w ChangeWire
+		c.Assert(cbor.Unmarshal(b, &w), qt.IsNil)
+		c.Assert(reflect.DeepEqual(w.Change(), change), qt.IsTrue, qt.Commentf("%+v", w.Change()))
+	}
+}
+
+// ExampleFind shows who owns a key.
+func ExampleFind() {
+	var r Registry
+	r = r.Grant(12, "tally", []Grant{
+		{
+			From: 0,
+			To:   4095,
+			Owner: Life{
+				ID: "a",
+			},
+		},
+		{
+			From: 4096,
+			To:   65535,
+			Owner: Life{
+				ID: "b",
+			},
+		},
+	})
+	owner, ok := Find(r.Ranges["tally"], 5000)
+	fmt.Println(owner.Owner.ID, owner.Fence, ok)
+	// Output: b 12 true
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -95,6 +95,8 @@
 
 // Estimate is the expected time of one more request at a target.
 type Estimate struct {
+	// InFlight is the number of this host's requests at the target.
+	InFlight int
 	// Wait is the time until a slot is free, Total that until the answer.
 	Wait  time.Duration
 	Total time.Duration
@@ -124,8 +126,9 @@
 	one := float64(work) * st.speed * slow
 	wait := max(0, busy+1-float64(slots)) / float64(slots) * one
 	return Estimate{
-		Wait:  time.Duration(wait),
-		Total: time.Duration(wait + one*(1+0.1*min(1, busy/float64(slots)))),
+		InFlight: st.inFlight,
+		Wait:     time.Duration(wait),
+		Total:    time.Duration(wait + one*(1+0.1*min(1, busy/float64(slots)))),
 	}
 }
 
