Log late answers and learn work only from requests that did not queue

Change: a line for each late answer and for one in 64 others, with what the target said of its load; the age of the news on failures; work and pace count only where the request was expected to begin at once and the answer shows no queue.

--- a/director/entry.go
+++ b/director/entry.go
@@ -93,6 +93,7 @@
 			Selector: e.selector,
 			Recorder: rec,
 			Log:      d.log,
+			NewsAge:  e.newsAge,
 			Meter:    &e.meter,
 			Limits: forwarder.Limits{
 				RetryShare: retrySafety * s.Direct.RetryShare,
@@ -133,6 +134,12 @@
 	return e.view, e.changed
 }
 
+// newsAge is the time since the source of the state was last known to be in contact with the control leader.
+func (e *entry) newsAge() time.Duration {
+	_, age := e.d.source.Contact()
+	return age
+}
+
 func (e *entry) currentLimits() matcher.Limits {
 	if l := e.limits.Load(); l != nil {
 		return *l
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -49,6 +49,8 @@
 	returnNoTable  = time.Second
 	// returnAtOnce is for callers whom a target turned away although it could have served them.
 	returnAtOnce = 10 * time.Millisecond
+	// sampleOf is the number of answers on time of which one is logged.
+	sampleOf = 64
 	// connectionShare is the share of a target's connections that all hosts together use: a target allows fewer while its
 	// queue is long, and control hosts need one.
 	connectionShare = 0.7
@@ -285,6 +287,7 @@
 	res := selector.Result{
 		Work: work.expected(),
 	}
+	idle := sel.Estimate(start, t, res.Work).Wait == 0
 	sel.Begin(start, t.Life)
 	defer func() { sel.End(time.Now(), t.Life, res) }()
 
@@ -313,11 +316,15 @@
 			return nil, true
 		}
 	} else {
-		res.Took = took
-		work.learn(took)
+		// Time in the queue says nothing of the work or of the target's pace.
+		if idle && (res.Load == nil || res.Load.Waiting == 0) {
+			res.Took = took
+			work.learn(took)
+		}
 	}
 	x.pace(t, res)
 	x.result = "answered"
+	x.logAnswer(t, resp.Status, took, res.Load)
 	return &acceptor.Answer{
 		Status: resp.Status,
 		Header: forwarded(resp.Header, func(string) bool { return false }),
@@ -403,12 +410,12 @@
 
 // broken handles an attempt without an answer, and reports whether another one may be made.
 func (x *exchange) broken(t *viewer.Target, f *sender.Fault) bool {
+	x.maybeRun = x.maybeRun || f.MayHaveRun
 	x.fault(t, f.Reason, f.Error())
 	if !f.MayHaveRun {
 		// The connection was refused or none was free: another target may take the request, but a key has only one.
 		return !x.service.Keyed
 	}
-	x.maybeRun = true
 	return x.route.Repeatable && !x.service.Keyed
 }
 
@@ -437,12 +444,29 @@
 func (x *exchange) fault(t *viewer.Target, reason, detail string) {
 	x.result, x.lastErr = reason, detail
 	x.f.opts.Log.Info("attempt", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "key", x.keyText(),
-		"target", t.ID, "attempt", x.sends, "outcome", reason, "detail", detail, "left", time.Until(x.limit).Milliseconds())
+		"target", t.ID, "attempt", x.sends, "outcome", reason, "detail", detail, "mayHaveRun", x.maybeRun,
+		"left", time.Until(x.limit).Milliseconds(), "index", x.index())
 }
 
-// pace tells the meter how fast the target is, unless it was so busy that the answer says nothing of that.
+// logAnswer logs answers that are late, and a sample of the others.
+func (x *exchange) logAnswer(t *viewer.Target, status int, took time.Duration, load *selector.Load) {
+	total := time.Since(x.req.Arrived)
+	late := x.route.Objective > 0 && total > x.route.Objective
+	if !late && x.f.answered.Add(1)%sampleOf != 0 {
+		return
+	}
+	if load == nil {
+		load = &selector.Load{}
+	}
+	x.f.opts.Log.Info("answered", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "key", x.keyText(),
+		"target", t.ID, "status", status, "late", late, "took", total.Milliseconds(), "atTarget", took.Milliseconds(),
+		"objective", x.route.Objective.Milliseconds(), "sends", x.sends, "expected", x.f.workOf(x.route.Name).expected().Milliseconds(),
+		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "slowness", load.Slowness, "index", x.index())
+}
+
+// pace tells the meter how fast the target is, if the answer says anything of that.
 func (x *exchange) pace(t *viewer.Target, res selector.Result) {
-	if x.f.opts.Meter == nil || !x.service.Keyed || res.Took <= 0 || res.Load != nil && res.Load.Waiting > 0 {
+	if x.f.opts.Meter == nil || !x.service.Keyed || res.Took <= 0 {
 		return
 	}
 	x.f.opts.Meter.Pace(x.service.Name, t.ID, res.Took, res.Work)
@@ -482,7 +506,7 @@
 	x.result = reason
 	x.f.opts.Log.Info("request failed", "request", x.call.ID, "route", x.routeName(), "service", x.service.Name,
 		"key", x.keyText(), "status", status, "reason", reason, "detail", x.lastErr, "sends", x.sends,
-		"took", time.Since(x.req.Arrived).Milliseconds(), "index", x.index())
+		"took", time.Since(x.req.Arrived).Milliseconds(), "index", x.index(), "newsAge", x.newsAge().Milliseconds())
 	return &acceptor.Answer{
 		Status: status,
 	}
@@ -495,6 +519,14 @@
 	return 0
 }
 
+// newsAge is the time since a control host last confirmed what this host knows.
+func (x *exchange) newsAge() time.Duration {
+	if x.f.opts.NewsAge == nil {
+		return 0
+	}
+	return x.f.opts.NewsAge()
+}
+
 func (x *exchange) routeName() string {
 	if x.route == nil {
 		return ""
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -36,6 +37,8 @@
 	Selector *selector.Selector
 	Recorder *recorder.Recorder
 	Log      *log.Logger
+	// NewsAge returns the time since a control host last confirmed the view; it may be nil.
+	NewsAge func() time.Duration
 	// Meter is told of the requests to keyed services; it may be nil.
 	Meter Meter
 	// Limits of repeats and cold targets.
@@ -68,10 +71,12 @@
 
 // Forwarder implements acceptor.Handler. Make it with New.
 type Forwarder struct {
-	opts    Options
-	budgets sync.Map // service to *retrier.Budget
-	works   sync.Map // route to *work
-	splits  sync.Map // route to *split
+	opts Options
+	// answered counts answers on time, for the sample in the log.
+	answered atomic.Uint64
+	budgets  sync.Map // service to *retrier.Budget
+	works    sync.Map // route to *work
+	splits   sync.Map // route to *split
 }
 
 // work is the expected time of the requests of one route.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -205,7 +205,8 @@
 
 // Result is how a request at a target ended.
 type Result struct {
-	// Took is the time from sending to the whole answer, Work the expected time; both are zero if there was no answer.
+	// Took is the time from sending to the whole answer, zero if there was no answer or the request had to queue. Work is
+	// the expected time.
 	Took time.Duration
 	Work time.Duration
 	// Load is what the answer said, nil if it said nothing.
@@ -236,7 +237,7 @@
 	}
 	st.broken = 0
 	st.avoid = time.Time{}
-	if r.Took > 0 && r.Work > 0 && !r.Failed && (r.Load == nil || r.Load.Waiting == 0) {
+	if r.Took > 0 && r.Work > 0 && !r.Failed {
 		ratio := min(maxSpeed, max(minSpeed, float64(r.Took)/float64(r.Work)))
 		st.speed += speedShare * (ratio - st.speed)
 	}
