Keep planned moves apart and let a hot key rest after one

Neighbouring spans that were given up for different targets became one range, so the plan was lost and the idlest target got both; and a key that is too busy for any target was lifted again with each new estimate of speed.

Change: ranges that are being given up are not merged; keys rest 300 ms after a planned move, a single hot key 2 s.

Test: TestSpansThatAreGivenUpStayApart failed before the change.

--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -36,6 +36,10 @@
 	announceTime = 8 * time.Second
 	// earlierFence stands for all fences that an earlier leader used.
 	earlierFence = 0
+	// restTime is how long keys stay after a planned move, and hotRestTime a single busy key: the load of a key follows
+	// with a time constant of 3 s, and each move costs its callers a hand-over.
+	restTime    = 300 * time.Millisecond
+	hotRestTime = 2 * time.Second
 	// maxRanges bounds the ranges of one target: each has to be renewed by itself.
 	maxRanges = 12
 )
@@ -76,6 +80,8 @@
 	// released has the spans that their owner has given up.
 	released map[spanKey]releaseNote
 	planned  map[string]time.Time
+	// moved has the spans that planned moves took away lately.
+	moved    map[string][]movedSpan
 	pruned   time.Time
 	joined   map[registrar.Life]time.Time
 	refenced map[string]bool
@@ -91,6 +97,11 @@
 	fence   uint64
 }
 
+type movedSpan struct {
+	span registrar.Span
+	at   time.Time
+}
+
 type releaseNote struct {
 	handover string
 }
@@ -127,6 +138,7 @@
 		moves:    make(map[spanKey]registrar.Life),
 		released: make(map[spanKey]releaseNote),
 		planned:  make(map[string]time.Time),
+		moved:    make(map[string][]movedSpan),
 		joined:   make(map[registrar.Life]time.Time),
 		refenced: make(map[string]bool),
 	}
--- a/lessor/service.go
+++ b/lessor/service.go
@@ -343,7 +343,7 @@
 	var spans []registrar.Span
 	for _, m := range a.Plan(maxMoves - moving) {
 		r, ok := registrar.Find(ranges, m.Span.From)
-		if !ok || !l.holder(r.Owner).clean(l.now, r.Fence, m.Span) || count[m.To] >= maxRanges {
+		if !ok || !l.holder(r.Owner).clean(l.now, r.Fence, m.Span) || count[m.To] >= maxRanges || l.rests(service, m.Span) {
 			continue
 		}
 		count[m.To]++
@@ -352,11 +352,28 @@
 			span:    m.Span,
 			fence:   r.Fence,
 		}] = m.To
+		l.moved[service] = append(l.moved[service], movedSpan{
+			span: m.Span,
+			at:   l.now,
+		})
 		spans = append(spans, m.Span)
 	}
 	l.startRelease(service, spans)
 }
 
+// rests reports whether a span holds keys that moved so lately that the effect cannot be seen yet. A single key that is
+// too busy for any target would otherwise go round.
+func (l *Lessor) rests(service string, s registrar.Span) bool {
+	l.moved[service] = slices.DeleteFunc(l.moved[service], func(m movedSpan) bool {
+		rest := restTime
+		if m.span.From == m.span.To {
+			rest = hotRestTime
+		}
+		return l.now.Sub(m.at) >= rest
+	})
+	return slices.ContainsFunc(l.moved[service], func(m movedSpan) bool { return m.span.From <= s.To && s.From <= m.span.To })
+}
+
 // expected returns the ranges with those that are on their way given to their next owners.
 func (l *Lessor) expected(service string, ranges []registrar.Range) []registrar.Range {
 	out := slices.Clone(ranges)
--- a/registrar/ranges.go
+++ b/registrar/ranges.go
@@ -118,14 +118,15 @@
 	return joined(next)
 }
 
-// joined merges neighbours that differ in nothing but their keys.
+// joined merges neighbours that differ in nothing but their keys. Ranges that are being given up stay apart, since each of
+// them may go to another target.
 func joined(ranges []Range) []Range {
 	out := ranges[:0]
 	for _, r := range ranges {
 		if n := len(out); n > 0 {
 			last := out[n-1]
 			last.From, last.To = r.From, r.To
-			if last == r && out[n-1].To != ^uint16(0) && out[n-1].To+1 == r.From {
+			if last == r && !r.Releasing && out[n-1].To != ^uint16(0) && out[n-1].To+1 == r.From {
 				out[n-1].To = r.To
 				continue
 			}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -124,6 +124,36 @@
 	}
 }
 
+// Guards against two spans that are given up for different targets and become one.
+func TestSpansThatAreGivenUpStayApart(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	r = r.Grant(1, "tally", []Grant{{
+		From:  0,
+		To:    65535,
+		Owner: target("a", 1, 80, 1).Life,
+	}})
+	spans := []Span{
+		{
+			From: 100,
+			To:   200,
+		},
+		{
+			From: 201,
+			To:   201,
+		},
+	}
+	r = r.Release("tally", spans, true)
+	for _, s := range spans {
+		got, ok := Find(r.Ranges["tally"], s.From)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(got.From, qt.Equals, s.From)
+		c.Assert(got.To, qt.Equals, s.To)
+	}
+	r = r.Release("tally", spans, false)
+	c.Assert(r.Ranges["tally"], qt.HasLen, 1)
+}
+
 // Guards against a change that the log does not keep whole.
 func TestChangesSurviveTheirEncoding(t *testing.T) {
 	c := qt.New(t)
