--- a/controller/feed.go
+++ b/controller/feed.go
@@ -130,7 +130,11 @@
 		return f.encoded, f.encodedIndex, nil
 	}
 	f.mu.Unlock()
-	b, err := applier.EncodeSnapshot(state)
+	encoded, err := applier.EncodeSnapshot(state)
+	if err != nil {
+		return nil, 0, err
+	}
+	b, err := Pack(encoded)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/controller/service.go
+++ b/controller/service.go
@@ -46,6 +46,8 @@
 	Leader     string
 	ContactAge time.Duration
 	Waited     time.Duration
+	// Lag is the time since the state of this host is known to have had everything that was committed.
+	Lag time.Duration
 }
 
 // ProposeArgs are the arguments of State.Propose.
@@ -110,6 +112,7 @@
 		reply.Index = reply.SnapshotIndex
 	}
 	reply.Leader, reply.ContactAge = s.c.Contact()
+	reply.Lag = s.c.Lag()
 	reply.Waited = timekeeper.Since(started)
 	return nil
 }
--- a/director/entry.go
+++ b/director/entry.go
@@ -176,7 +176,7 @@
 func (e *entry) update() {
 	st := e.d.source.State()
 	old, _ := e.current()
-	if old != nil && old.Index == st.Index {
+	if !e.d.follower.Confirmed() || old != nil && old.Index == st.Index {
 		return
 	}
 	v, err := e.builder.Build(st, time.Now())
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,8 +23,11 @@
 	// pullWait is how long a source holds an answer back when nothing is new, and so the interval at which contact with
 	// the leader is confirmed.
 	pullWait = 100 * time.Millisecond
-	// pullTimeout bounds one call beyond that. A snapshot of 131,072 slots is about 3 MB.
+	// pullTimeout is how long beyond that nothing may arrive. A snapshot may take longer in all: one of 300 KB takes a
+	// second on a link of 2.4 Mbit/s.
 	pullTimeout = 500 * time.Millisecond
+	// largeTimeout bounds one call in all.
+	largeTimeout = 20 * time.Second
 	// retryWait keeps a host from calling unreachable sources in a tight loop.
 	retryWait = 50 * time.Millisecond
 	// staleContact is the age of a source's contact with the leader from which another source is tried.
@@ -56,6 +59,8 @@
 	notify  chan struct{}
 	leader  string
 	contact time.Time
+	// confirmed says that the state was once known to be the newest.
+	confirmed bool
 
 	// source is where the state comes from; avoid is the source that was lost last.
 	source     netip.AddrPort
@@ -134,6 +139,14 @@
 	return f.leader, timekeeper.Since(f.contact)
 }
 
+// Confirmed reports whether the state has been the newest at some time since the start. A state from before may be one
+// that a source had not caught up with yet.
+func (f *Follower) Confirmed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
 // Done is closed when the follower has stopped.
 func (f *Follower) Done() <-chan struct{} {
 	return f.done
@@ -238,11 +251,11 @@
 // pull makes one call. Its error says that another source should be tried.
 func (f *Follower) pull(s Source) error {
 	old := f.State()
-	ctx, cancel := context.WithTimeout(f.ctx, f.wait+pullTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, largeTimeout)
 	defer cancel()
 	asked := timekeeper.Now()
 	var reply controller.PullReply
-	if err := f.messenger.Call(ctx, s.Addr, "State.Pull", &controller.PullArgs{
+	if err := f.messenger.CallLarge(ctx, s.Addr, f.wait+pullTimeout, "State.Pull", &controller.PullArgs{
 		Since: old.Index,
 		Wait:  f.wait,
 	}, &reply); err != nil {
@@ -259,26 +272,40 @@
 	defer f.mu.Unlock()
 	if next.Index > f.state.Index {
 		f.state = next
-		close(f.notify)
-		f.notify = make(chan struct{})
+		f.announce()
 	}
 	// The answer left the source at Waited after the question at the earliest.
 	if at := asked.Add(reply.Waited - reply.ContactAge); reply.Leader != "" && at.After(f.contact) {
 		f.leader, f.contact = reply.Leader, at
 	}
-	if reply.Leader == "" || reply.ContactAge > staleContact || reply.Index < old.Index {
-		return errors.Errorf("source %s has no contact with the leader, or is behind", s.Name)
+	if reply.Leader == "" || reply.ContactAge > staleContact || reply.Lag > staleContact || reply.Index < old.Index {
+		return errors.Errorf("source %s has no contact with the leader, or is behind: contact %s ago, lag %s, index %d", s.Name,
+			reply.ContactAge.Round(time.Millisecond), reply.Lag.Round(time.Millisecond), reply.Index)
+	}
+	if !f.confirmed {
+		f.confirmed = true
+		f.announce()
 	}
 	return nil
 }
 
+// announce wakes up whoever waits for news. The caller holds the lock.
+func (f *Follower) announce() {
+	close(f.notify)
+	f.notify = make(chan struct{})
+}
+
 // advance returns the state that the answer leads to, or old if the source has nothing newer.
 func advance(old *applier.State, reply *controller.PullReply) (*applier.State, error) {
 	if reply.Index <= old.Index {
 		return old, nil
 	}
 	if reply.Snapshot != nil {
-		return applier.DecodeSnapshot(reply.Snapshot)
+		encoded, err := controller.Unpack(reply.Snapshot)
+		if err != nil {
+			return nil, err
+		}
+		return applier.DecodeSnapshot(encoded)
 	}
 	batch := applier.NewBatch(old)
 	for i, index := range reply.Indexes {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -30,8 +30,12 @@
 	defer s.mu.Unlock()
 	s.calls++
 	*reply = s.reply
-	b, err := applier.EncodeSnapshot(s.state)
-	reply.Snapshot, reply.Index, reply.SnapshotIndex = b, s.state.Index, s.state.Index
+	encoded, err := applier.EncodeSnapshot(s.state)
+	if err != nil {
+		return err
+	}
+	reply.Index, reply.SnapshotIndex = s.state.Index, s.state.Index
+	reply.Snapshot, err = controller.Pack(encoded)
 	return err
 }
 
@@ -134,3 +138,21 @@
 	f := follow(c, configured)
 	eventually(c, func() bool { return f.State().Index == 20 })
 }
+
+// Guards against a host that serves from the state of a source that has contact with the leader and has not caught up:
+// such a state is not confirmed.
+func TestStateOfASourceThatLagsIsNotConfirmed(t *testing.T) {
+	c := qt.New(t)
+	s := &source{}
+	f := follow(c, s)
+	s.mu.Lock()
+	s.reply.Lag = time.Hour
+	s.mu.Unlock()
+	s.set(5, "leader", 0)
+	eventually(c, func() bool { return f.State().Index == 5 })
+	c.Assert(f.Confirmed(), qt.IsFalse)
+	s.mu.Lock()
+	s.reply.Lag = 0
+	s.mu.Unlock()
+	eventually(c, f.Confirmed)
+}
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -40,8 +40,11 @@
 	// with a time constant of 3 s, and each move costs its callers a hand-over.
 	restTime    = 300 * time.Millisecond
 	hotRestTime = 2 * time.Second
-	// maxRanges bounds the ranges of one target: each has to be renewed by itself.
+	// maxRanges bounds the ranges of one target and allRanges those of a service, of which each target may have minRanges
+	// at least: each range has to be renewed by itself, and each host gets all of them when it starts.
 	maxRanges = 12
+	allRanges = 480
+	minRanges = 3
 )
 
 // Settings are the figures that a Lessor works with.
--- a/lessor/service.go
+++ b/lessor/service.go
@@ -335,15 +335,17 @@
 	if moving >= maxMoves {
 		return
 	}
+	targets := l.targets(service)
+	limit := min(maxRanges, max(minRanges, allRanges/max(1, len(targets))))
 	a := allotter.Allotter{
 		Sums:    w.Sums(l.now),
 		Ranges:  l.expected(service, ranges),
-		Targets: l.targets(service),
+		Targets: targets,
 	}
 	var spans []registrar.Span
 	for _, m := range a.Plan(maxMoves - moving) {
 		r, ok := registrar.Find(ranges, m.Span.From)
-		if !ok || !l.holder(r.Owner).clean(l.now, r.Fence, m.Span) || count[m.To] >= maxRanges || l.rests(service, m.Span) {
+		if !ok || !l.holder(r.Owner).clean(l.now, r.Fence, m.Span) || count[m.To] >= limit || l.rests(service, m.Span) {
 			continue
 		}
 		count[m.To]++
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -62,6 +62,49 @@
 	failedAt time.Time
 }
 
+// stallCheck is the interval at which a call with a large answer looks whether bytes still arrive.
+const stallCheck = 50 * time.Millisecond
+
+// CallLarge is Call for an answer that may take long to arrive: it also ends, with ErrTimeout, when nothing was read from
+// the connection for stall.
+func (m *Messenger) CallLarge(ctx context.Context, addr netip.AddrPort, stall time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		started := time.Now()
+		ticker := time.NewTicker(stallCheck)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if last := m.lastRead(addr); time.Since(started) > stall && time.Since(last) > stall {
+				cancel()
+				return
+			}
+		}
+	}()
+	return m.Call(ctx, addr, method, args, reply)
+}
+
+// lastRead returns when anything was read from the connection to addr, the zero time if there is none.
+func (m *Messenger) lastRead(addr netip.AddrPort) time.Time {
+	m.mu.Lock()
+	l, ok := m.links[addr]
+	m.mu.Unlock()
+	if !ok {
+		return time.Time{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return time.Time{}
+	}
+	return l.conn.lastRead()
+}
+
 // Call runs method at addr and waits for its answer until ctx ends. Its errors are ErrUnreachable, ErrTimeout,
 // ErrAuthentication and the error that the method returned, as a net/rpc ServerError.
 func (m *Messenger) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
