--- a/settler/pages_test.go
+++ b/settler/pages_test.go
@@ -14,13 +14,19 @@
 	c := qt.New(t)
 	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATING.md"))
 	c.Assert(err, qt.IsNil)
-	for section, names := range known() {
+	for _, sections := range []map[string][]string{known(), knownDirect()} {
+		checkRows(c, string(page), sections)
+	}
+}
+
+func checkRows(c *qt.C, page string, sections map[string][]string) {
+	for section, names := range sections {
 		for _, name := range names {
 			row := "| `[" + section + "]` | `" + name + "` "
 			if base, ok := strings.CutSuffix(name, "File"); ok {
 				row = "| `[" + section + "]` | `" + base + "` or `" + name + "` "
 			}
-			c.Check(string(page), qt.Contains, row)
+			c.Check(page, qt.Contains, row)
 		}
 	}
 }
