Refuse requests that crash their targets in direct dispatch

Change: the forwarder keeps lanes of the quarantiner; after a severed connection one look tells whether the target still listens, which tells a lost target from a lost answer; hosts share suspects through the reports to the control leader. exchange.go is split by concern, without changes of behaviour.

Test: TestRequestThatCrashesItsTargetsIsRefused (failed with three losses before the look at the listener).

--- a/director/entry.go
+++ b/director/entry.go
@@ -15,6 +15,7 @@
 	"bramleyline.example/bramleyline/forwarder"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/overseer"
+	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
@@ -62,6 +63,8 @@
 	limits  atomic.Pointer[matcher.Limits]
 
 	meter meter
+	// suspects are the requests that crash their targets.
+	suspects quarantiner.Quarantiner
 }
 
 func (d *Director) startEntry() error {
@@ -87,14 +90,15 @@
 	rec.Publish(s.Name)
 	e.acceptor = &acceptor.Acceptor{
 		Handler: forwarder.New(forwarder.Options{
-			View:     e.current,
-			Codec:    d.dialect.Codec,
-			Sender:   e.sender,
-			Selector: e.selector,
-			Recorder: rec,
-			Log:      d.log,
-			NewsAge:  e.newsAge,
-			Meter:    &e.meter,
+			View:        e.current,
+			Codec:       d.dialect.Codec,
+			Sender:      e.sender,
+			Selector:    e.selector,
+			Recorder:    rec,
+			Log:         d.log,
+			NewsAge:     e.newsAge,
+			Meter:       &e.meter,
+			Quarantiner: &e.suspects,
 			Limits: forwarder.Limits{
 				RetryShare: retrySafety * s.Direct.RetryShare,
 				RetrySlack: retrySafety * s.Direct.RetrySlack,
@@ -204,17 +208,20 @@
 			return
 		case <-ticker.C:
 		}
-		work := e.meter.take()
+		work, suspects := e.meter.take(), e.suspects.Suspects(time.Now())
 		leader, _ := e.d.source.Contact()
 		addr := e.d.source.State().Hosts[leader].RPC
-		if len(work) == 0 || !addr.IsValid() {
+		if len(work)+len(suspects) == 0 || !addr.IsValid() {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(e.d.ctx, reportTimeout)
+		var reply overseer.ObserveReply
 		err := e.d.messenger.Call(ctx, addr, "Leader.Observe", &overseer.ObserveArgs{
-			Work: work,
-		}, &overseer.ObserveReply{})
+			Work:     work,
+			Suspects: suspects,
+		}, &reply)
 		cancel()
+		e.suspects.Learn(reply.Suspects, time.Now())
 		if err != nil && e.d.ctx.Err() == nil {
 			e.d.log.Debug("report lost", "leader", leader, "services", len(work), "err", err)
 		}
--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,208 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleyline.example/bramleyline/acceptor"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/selector"
+	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/viewer"
+)
+
+// attempt sends the request to t. It returns the answer to deliver, or whether another attempt may be made.
+func (x *exchange) attempt(ctx context.Context, t *viewer.Target) (a *acceptor.Answer, again bool) {
+	sel := x.f.opts.Selector
+	start := time.Now()
+	x.sends++
+	x.comeBack = returnNoTarget
+	if !containsLife(x.tried, t.Life) {
+		x.tried = append(x.tried, t.Life)
+	}
+	work := x.f.workOf(x.route.Name)
+	res := selector.Result{
+		Work: work.expected(),
+	}
+	idle := sel.Estimate(start, t, res.Work).Wait == 0
+	sel.Begin(start, t.Life)
+	defer func() { sel.End(time.Now(), t.Life, res) }()
+
+	ended := x.watch(t, start)
+	resp, body, fault := x.send(ctx, t, start)
+	ended(fault)
+	if fault != nil {
+		res.Broken = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
+		return nil, x.broken(t, fault)
+	}
+	reply := x.f.opts.Codec.Reply(resp.Status, resp.Header)
+	res.Load = reply.Load
+	if reply.NotRun {
+		res.Failed = !reply.Misdirected
+		return nil, x.turnedAway(ctx, t, reply)
+	}
+	if !resp.Echoed {
+		x.maybeRun = true
+		x.fault(t, sender.ReasonCrossed, "answer has no identity")
+		return nil, x.route.Repeatable
+	}
+	took := time.Since(start)
+	if resp.Status >= http.StatusInternalServerError {
+		res.Failed = true
+		x.maybeRun = true
+		if x.mayRepeat(resp.Status) {
+			x.fault(t, "targetFailed", strconv.Itoa(resp.Status))
+			return nil, true
+		}
+	} else {
+		// Time in the queue says nothing of the work or of the target's pace.
+		if idle && (res.Load == nil || res.Load.Waiting == 0) {
+			res.Took = took
+			work.learn(took)
+		}
+	}
+	x.pace(t, res)
+	x.result = "answered"
+	x.logAnswer(t, resp.Status, took, res.Load)
+	return &acceptor.Answer{
+		Status: resp.Status,
+		Header: forwarded(resp.Header, func(string) bool { return false }),
+		Body:   body,
+	}, false
+}
+
+// mayRepeat reports whether another target may do better with a request that a target failed.
+func (x *exchange) mayRepeat(status int) bool {
+	return x.route.Repeatable && status != http.StatusGatewayTimeout && !x.service.Keyed &&
+		len(x.tried) < max(1, x.route.MaxAttempts) && time.Until(x.limit) > 2*x.f.workOf(x.route.Name).expected()
+}
+
+func (x *exchange) send(ctx context.Context, t *viewer.Target, start time.Time) (*sender.Response, []byte, *sender.Fault) {
+	resp, fault := x.f.opts.Sender.Send(ctx, &sender.Request{
+		Addr:         t.Addr,
+		Method:       x.req.Method,
+		URI:          x.req.URI,
+		Host:         x.req.Host,
+		Header:       x.header,
+		Fields:       x.f.opts.Codec.Fields(x.call, t, x.limit.Sub(start)),
+		Body:         x.req.Body,
+		Identity:     x.call.ID,
+		EchoHeader:   x.f.opts.Codec.EchoHeader(),
+		EchoOptional: true,
+		Undelimited:  true,
+		Deadline:     x.limit,
+		Connections:  x.connections(),
+	})
+	if fault != nil {
+		return nil, nil, fault
+	}
+	body, err := readAll(resp)
+	closeErr := resp.Close()
+	if err != nil {
+		f, ok := err.(*sender.Fault)
+		if !ok {
+			f = &sender.Fault{
+				Reason:     sender.ReasonCut,
+				Status:     http.StatusBadGateway,
+				MayHaveRun: true,
+			}
+		}
+		return nil, nil, f
+	}
+	if closeErr != nil {
+		x.lastErr = closeErr.Error()
+	}
+	return resp, body, nil
+}
+
+// connections returns how many connections to one target this host may have: the hosts together stay below the number at
+// which the target resets further ones.
+func (x *exchange) connections() int {
+	hosts := 1
+	if v, _ := x.f.opts.View(); v != nil {
+		hosts = max(1, v.Hosts)
+	}
+	return max(minConnections, int(connectionShare*float64(x.service.Connections))/hosts)
+}
+
+func readAll(r *sender.Response) ([]byte, error) {
+	if r.Length < 0 {
+		return io.ReadAll(r)
+	}
+	if r.Length == 0 {
+		_, err := r.Read(make([]byte, 1))
+		if err == io.EOF {
+			err = nil
+		}
+		return nil, err
+	}
+	body := make([]byte, r.Length)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	// The body counts as whole only once its end was read.
+	if _, err := r.Read(make([]byte, 1)); err != nil && err != io.EOF {
+		return nil, err
+	}
+	return body, nil
+}
+
+// broken handles an attempt without an answer, and reports whether another one may be made.
+func (x *exchange) broken(t *viewer.Target, f *sender.Fault) bool {
+	x.maybeRun = x.maybeRun || f.MayHaveRun
+	x.fault(t, f.Reason, f.Error())
+	if !f.MayHaveRun {
+		// The connection was refused or none was free: another target may take the request, but a key has only one.
+		return !x.service.Keyed
+	}
+	return x.route.Repeatable && !x.service.Keyed
+}
+
+// turnedAway handles a target's statement that it did not run the request, and reports whether another attempt may be
+// made.
+func (x *exchange) turnedAway(ctx context.Context, t *viewer.Target, r Reply) bool {
+	if !r.Misdirected {
+		x.fault(t, reasonOverloaded, "target turned the request away")
+		if r.Load != nil && r.Load.Running < r.Load.Slots {
+			// It has slots free and turns work away at random.
+			x.comeBack = returnAtOnce
+		}
+		return !x.service.Keyed
+	}
+	x.fault(t, sender.ReasonStaleRoute, "target is another one or does not hold the key")
+	if !x.service.Keyed {
+		return true
+	}
+	v, changed := x.f.opts.View()
+	if owner, _ := x.ownerIn(v, time.Now()); owner != nil && owner.Life != t.Life {
+		return true
+	}
+	return x.await(ctx, changed, min(misdirectWait, time.Until(x.limit)/3))
+}
+
+func (x *exchange) fault(t *viewer.Target, reason, detail string) {
+	x.result, x.lastErr = reason, detail
+	x.f.opts.Log.Info("attempt", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "key", x.keyText(),
+		"target", t.ID, "attempt", x.sends, "outcome", reason, "detail", detail, "mayHaveRun", x.maybeRun,
+		"left", time.Until(x.limit).Milliseconds(), "index", x.index())
+}
+
+// pace tells the meter how fast the target is, if the answer says anything of that.
+func (x *exchange) pace(t *viewer.Target, res selector.Result) {
+	if x.f.opts.Meter == nil || !x.service.Keyed || res.Took <= 0 {
+		return
+	}
+	x.f.opts.Meter.Pace(x.service.Name, t.ID, res.Took, res.Work)
+}
+
+func containsLife(lives []registrar.Life, life registrar.Life) bool {
+	for _, l := range lives {
+		if l == life {
+			return true
+		}
+	}
+	return false
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/retrier"
 	"bramleyline.example/bramleyline/selector"
@@ -39,6 +40,8 @@
 	Log      *log.Logger
 	// NewsAge returns the time since a control host last confirmed the view; it may be nil.
 	NewsAge func() time.Duration
+	// Quarantiner finds requests that crash their targets; it may be nil.
+	Quarantiner *quarantiner.Quarantiner
 	// Meter is told of the requests to keyed services; it may be nil.
 	Meter Meter
 	// Limits of repeats and cold targets.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -20,6 +20,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
@@ -414,6 +415,39 @@
 	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 }
 
+// Guards against a request that crashes one target after the other: after two losses it is refused with the truth, while
+// other requests go on.
+func TestRequestThatCrashesItsTargetsIsRefused(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.f.opts.Quarantiner = &quarantiner.Quarantiner{}
+	b.putTable()
+	for _, id := range []string{"a", "b", "c"} {
+		var s *httptest.Server
+		s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testRequest, r.Header.Get(testRequest))
+			if r.URL.Path == "/order/bad" {
+				_ = s.Listener.Close()
+				hangUp(&atomic.Int32{})(w, r)
+			}
+		}))
+		c.Cleanup(s.Close)
+		b.announce(id, "desk", netip.MustParseAddrPort(s.Listener.Addr().String()))
+	}
+	lost := 0
+	for range 40 {
+		switch a := b.send(context.Background(), http.MethodPost, "/order/bad"); a.Status {
+		case http.StatusBadGateway:
+			lost++
+		case http.StatusServiceUnavailable:
+		default:
+			c.Fatalf("status %d", a.Status)
+		}
+	}
+	c.Assert(lost, qt.Equals, crashLimit)
+	c.Assert(b.send(context.Background(), http.MethodGet, "/lookup/1").Status, qt.Equals, http.StatusOK)
+}
+
 // Guards against shares of a split route that are far from their weights after few requests.
 func TestSplitKeepsItsWeights(t *testing.T) {
 	c := qt.New(t)
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -14,6 +14,7 @@
 	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/lessor"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recruiter"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/timekeeper"
@@ -65,6 +66,8 @@
 	recruited time.Time
 	table     *matcher.Table
 	weighers  map[string]*weigher.Weigher
+	// suspects passes on which requests crash their targets.
+	suspects quarantiner.Quarantiner
 
 	startOnce sync.Once
 	ctx       context.Context
--- a/overseer/service.go
+++ b/overseer/service.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/messenger"
+	"bramleyline.example/bramleyline/reporter"
 )
 
 // joinTimeout bounds the addition of a member.
@@ -28,10 +29,14 @@
 // ObserveArgs are the arguments of Leader.Observe.
 type ObserveArgs struct {
 	Work []WorkMsg
+	// Suspects are requests during which targets were lost, as the caller knows them.
+	Suspects []reporter.SuspectMsg
 }
 
-// ObserveReply is empty: what is lost is not sent again.
-type ObserveReply struct{}
+// ObserveReply is the answer of Leader.Observe: the suspect requests that any host told of lately.
+type ObserveReply struct {
+	Suspects []reporter.SuspectMsg
+}
 
 type service struct {
 	s *Overseer
@@ -69,7 +74,10 @@
 }
 
 // Observe takes the work that an entry host saw.
-func (v *service) Observe(args *ObserveArgs, _ *ObserveReply) error {
+func (v *service) Observe(args *ObserveArgs, reply *ObserveReply) error {
 	v.s.Observe(args.Work)
+	now := time.Now()
+	v.s.suspects.Learn(args.Suspects, now)
+	reply.Suspects = v.s.suspects.Suspects(now)
 	return nil
 }
--- a/settler/direct_test.go
+++ b/settler/direct_test.go
@@ -34,7 +34,7 @@
 `
 
 func readText(c *qt.C, text string) (Settings, []string) {
-	file := filepath.Join(c.Mkdir(), "host.ini")
+	file := filepath.Join(c.TempDir(), "host.ini")
 	c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	s, findings := Read(file)
 	var lines []string
