Stop sending to a leaving owner 300 ms after its drain is known

The entry host learned of the drain more than a second late, from an overloaded control host, and allowed itself 0.4 of the 2 s from then on, and the request took 158 ms to arrive.

Change: 0.15 of the drain time and 0.3 of the takeout time after a host learns of them. The keys of such a target are given up within a few tens of milliseconds, so the time is only for moves that are stuck.

--- a/director/entry.go
+++ b/director/entry.go
@@ -42,8 +42,8 @@
 	balancerTime = 3 * time.Second
 	// drainShare and outShare are the shares of the times that the settings give to the last host, which learns of a
 	// drain or a takeout some time after its acknowledgement.
-	drainShare = 0.4
-	outShare   = 0.6
+	drainShare = 0.15
+	outShare   = 0.3
 	// retrySafety is the share of the allowed repeats that hosts use: they count requests that reach no target too.
 	retrySafety = 0.8
 )
