Try an owner again whose grant is late, and count only runs as attempts

Attempts that a target turned away also used up max_attempts, which counts the targets that run a request.

Change: without other news the same owner is tried again after 30 ms, three times at most; attempts that may have run count against the route's bound, four in all. A host with direct dispatch and two roles is a finding.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -45,14 +45,14 @@
 		return nil, x.turnedAway(ctx, t, reply)
 	}
 	if !resp.Echoed {
-		x.maybeRun = true
+		x.ran++
 		x.fault(t, sender.ReasonCrossed, "answer has no identity")
 		return nil, x.route.Repeatable
 	}
 	took := time.Since(start)
 	if resp.Status >= http.StatusInternalServerError {
 		res.Failed = true
-		x.maybeRun = true
+		x.ran++
 		if x.mayRepeat(resp.Status) {
 			x.fault(t, "targetFailed", strconv.Itoa(resp.Status))
 			return nil, true
@@ -77,7 +77,7 @@
 // mayRepeat reports whether another target may do better with a request that a target failed.
 func (x *exchange) mayRepeat(status int) bool {
 	return x.route.Repeatable && status != http.StatusGatewayTimeout && !x.service.Keyed &&
-		len(x.tried) < max(1, x.route.MaxAttempts) && time.Until(x.limit) > 2*x.f.workOf(x.route.Name).expected()
+		x.ran < max(1, x.route.MaxAttempts) && time.Until(x.limit) > 2*x.f.workOf(x.route.Name).expected()
 }
 
 func (x *exchange) send(ctx context.Context, t *viewer.Target, start time.Time) (*sender.Response, []byte, *sender.Fault) {
@@ -152,7 +152,9 @@
 
 // broken handles an attempt without an answer, and reports whether another one may be made.
 func (x *exchange) broken(t *viewer.Target, f *sender.Fault) bool {
-	x.maybeRun = x.maybeRun || f.MayHaveRun
+	if f.MayHaveRun {
+		x.ran++
+	}
 	x.fault(t, f.Reason, f.Error())
 	if !f.MayHaveRun {
 		// The connection was refused or none was free: another target may take the request, but a key has only one.
@@ -176,17 +178,20 @@
 	if !x.service.Keyed {
 		return true
 	}
+	x.stale = true
+	x.staleTries++
 	v, changed := x.f.opts.View()
-	if owner, _ := x.ownerIn(v, time.Now()); owner != nil && owner.Life != t.Life {
-		return true
+	if owner, _ := x.ownerIn(v, time.Now()); owner == nil && !x.await(ctx, changed, grantWait) {
+		// No other owner is known, so the grant may have been late.
+		x.stale = false
 	}
-	return x.await(ctx, changed, min(misdirectWait, time.Until(x.limit)/3))
+	return x.staleTries < maxStale && ctx.Err() == nil
 }
 
 func (x *exchange) fault(t *viewer.Target, reason, detail string) {
 	x.result, x.lastErr = reason, detail
 	x.f.opts.Log.Info("attempt", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "key", x.keyText(),
-		"target", t.ID, "attempt", x.sends, "outcome", reason, "detail", detail, "mayHaveRun", x.maybeRun,
+		"target", t.ID, "attempt", x.sends, "outcome", reason, "detail", detail, "mayHaveRun", x.ran > 0,
 		"left", time.Until(x.limit).Milliseconds(), "index", x.index())
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -35,8 +35,13 @@
 	ownerWaitShare = 0.4
 	// minAttempt is the shortest time left in which another attempt is worth a target's work.
 	minAttempt = 10 * time.Millisecond
-	// misdirectWait is the wait for news after a target did not hold the key that it should own.
-	misdirectWait = 150 * time.Millisecond
+	// grantWait is how long a new owner may know of its keys later than this host does: the grant is on its way when the
+	// change of ownership is committed.
+	grantWait = 30 * time.Millisecond
+	// maxSends bounds the attempts in all: those that were turned away do not count as runs.
+	maxSends = 4
+	// maxStale bounds the attempts at owners that do not hold the key yet.
+	maxStale = 3
 	// returnNoOwner, returnNoTarget and returnNoTable are the times after which a refused caller may come back: about
 	// how long it takes until a key has an owner again, a target is free again, and a host that started has its table.
 	returnNoOwner  = 500 * time.Millisecond
@@ -65,10 +70,14 @@
 
 	tried []registrar.Life
 	sends int
-	// maybeRun says that a target may have run the request, and ranAt which.
-	maybeRun bool
-	lastErr  string
-	result   string
+	// ran is the number of attempts in which a target may have run the request.
+	ran int
+	// lastErr and result describe the last attempt, for the log.
+	lastErr string
+	result  string
+	// stale says that the owner did not hold the key, and staleTries how often that was said.
+	stale      bool
+	staleTries int
 	// comeBack is when a caller may return after the last attempt was turned away.
 	comeBack time.Duration
 }
@@ -145,7 +154,7 @@
 		if ctx.Err() != nil {
 			return x.timedOut(ctx)
 		}
-		if !again || len(x.tried) >= max(1, x.route.MaxAttempts) || time.Until(x.limit) < minAttempt {
+		if !again || x.ran >= max(1, x.route.MaxAttempts) || x.sends >= maxSends || time.Until(x.limit) < minAttempt {
 			return x.giveUp(x.result, x.comeBack)
 		}
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -495,3 +495,20 @@
 	c.Assert(strings.Contains(fmt.Sprint(names), "X-End"), qt.IsTrue)
 	c.Assert(names, qt.HasLen, 2)
 }
+
+// Guards against refusals in the moment between the commit of a new owner and the arrival of its grant.
+func TestOwnerWhoseGrantIsLateIsTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.putTable()
+	var n atomic.Int32
+	b.target("a", "tally", func(w http.ResponseWriter, _ *http.Request) {
+		if n.Add(1) == 1 {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}
+	})
+	b.own("tally", "a")
+	a := b.send(context.Background(), http.MethodPost, "/tally/1", testKey, "7")
+	c.Assert(a.Status, qt.Equals, http.StatusOK)
+	c.Assert(n.Load(), qt.Equals, int32(2))
+}
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -30,7 +30,7 @@
 
 // giveUp ends the request: with a promise that it has not run where that is so.
 func (x *exchange) giveUp(reason string, after time.Duration) *acceptor.Answer {
-	if x.maybeRun {
+	if x.ran > 0 {
 		return x.fail(http.StatusBadGateway, reasonUnknown)
 	}
 	return x.refuse(reason, after)
@@ -43,7 +43,7 @@
 			Abort: true,
 		}
 	}
-	if x.maybeRun {
+	if x.ran > 0 {
 		return x.fail(http.StatusGatewayTimeout, reasonDeadline)
 	}
 	return x.refuse(reasonDeadline, returnNoTarget)
--- a/forwarder/owner.go
+++ b/forwarder/owner.go
@@ -6,7 +6,6 @@
 
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/selector"
-	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -88,7 +87,7 @@
 	if releasing {
 		return nil, true
 	}
-	if t == nil || containsLife(x.tried, t.Life) && x.result == sender.ReasonStaleRoute {
+	if t == nil || x.stale && t.Life == x.tried[len(x.tried)-1] {
 		return nil, t != nil
 	}
 	l := x.f.opts.Limits
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -121,7 +121,8 @@
 	// failures counts the failed calls in a row; retryAt is when the next call may be made.
 	failures int
 	retryAt  time.Time
-	grants   map[spanKey]time.Time // when each granted span is to be renewed
+	// grants has when each span that was granted is to be renewed.
+	grants map[spanKey]time.Time
 	// fenced has the fences that must not be used again at this life.
 	fenced map[uint64]bool
 	// confirmed has the spans that the life has taken under each fence.
@@ -276,14 +277,12 @@
 	if !m.Call.SameConnection {
 		h.dialed = now
 	}
-	switch {
-	case !m.Answered:
-		until := l.lapse(now)
+	until := l.lapse(now)
+	h.until = later(h.until, until)
+	if !m.Answered {
 		h.doubt[key.fence] = later(h.doubt[key.fence], until)
-		h.until = later(h.until, until)
 		return
 	}
-	h.until = later(h.until, l.lapse(now))
 	switch {
 	case m.OK:
 		h.confirm(key)
--- a/settler/direct.go
+++ b/settler/direct.go
@@ -78,6 +78,9 @@
 		r.settings.Keys.System = r.secret("system")
 	}
 	entry, control := r.settings.Roles.Entry, r.settings.Roles.Control
+	if entry && control {
+		r.find("host", "roles", "a host with direct dispatch has one role, entry or control")
+	}
 	r.settings.Listen.Caller = r.listenAddr("caller", entry, true)
 	r.settings.Listen.RPC = r.listenAddr("rpc", true, false)
 	r.settings.Direct = &Direct{
--- a/settler/direct_test.go
+++ b/settler/direct_test.go
@@ -70,6 +70,7 @@
 		{"retryShare = 0.2", "retryShare = -1"}:         "21: retryShare = -1: wants a number from 0",
 		{"found = true", "found = maybe"}:               "18: found = maybe: wants one of true, false",
 		{"roles = entry", "roles = control"}:            "1: role control needs dataFolder, which holds the log",
+		{"roles = entry", "roles = entry, control"}:     "4: a host with direct dispatch has one role, entry or control",
 		{"hostLosses = 1", "losses = 1"}:                "19: unknown setting losses in section [direct], known are " + strings.Join(knownDirect()["direct"], ", "),
 		{"[direct]", "[other]"}:                         "16: unknown section [other], known are [host], [listen], [direct] and [keys]",
 	} {
