Do not take answers of an earlier term of leadership

Cause: found by reading. A host that leads again within a second could take the answer of a call of its earlier term for that of the call in progress, and then judge a hold as lapsed while a renewal was on its way.

Change: an answer goes only to the lessor that asked. The new lessor counts the calls of the one before as unanswered already.

--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -55,7 +55,7 @@
 // Overseer acts only while its host leads. Make it with New.
 type Overseer struct {
 	opts    Options
-	answers chan lessor.AnsweredMsg
+	answers chan answer
 	work    chan []WorkMsg
 	// proposed is sent to when proposals have ended.
 	proposed chan struct{}
@@ -75,6 +75,13 @@
 	done      chan struct{}
 }
 
+// answer is the result of a call, and who asked for it: a leader that was elected again does not take the answers of its
+// earlier term, whose calls it counts as unanswered.
+type answer struct {
+	lessor *lessor.Lessor
+	msg    lessor.AnsweredMsg
+}
+
 // WorkMsg is what an entry host saw of one keyed service since its last report.
 type WorkMsg struct {
 	Service string
@@ -97,7 +104,7 @@
 func New(o Options) *Overseer {
 	s := Overseer{
 		opts:     o,
-		answers:  make(chan lessor.AnsweredMsg, 1024),
+		answers:  make(chan answer, 1024),
 		work:     make(chan []WorkMsg, 256),
 		proposed: make(chan struct{}, 1),
 		weighers: make(map[string]*weigher.Weigher),
@@ -173,14 +180,15 @@
 	}
 }
 
-func (s *Overseer) answered(m lessor.AnsweredMsg) {
+func (s *Overseer) answered(a answer) {
+	m := a.msg
 	if !m.OK {
 		counters.Add("failedCalls", 1)
 		s.opts.Log.Warn("call at target failed", "target", m.Call.Life.ID, "service", m.Call.Service, "from", m.Call.Span.From,
 			"to", m.Call.Span.To, "fence", m.Call.Fence, "release", m.Call.Release, "sent", !m.NotSent, "answered", m.Answered,
 			"err", m.Err)
 	}
-	if s.lessor != nil {
+	if s.lessor != nil && s.lessor == a.lessor {
 		s.lessor.Answered(timekeeper.Now(), m)
 	}
 }
@@ -235,7 +243,7 @@
 		Weighers: s.weighers,
 	})
 	for _, c := range e.Calls {
-		go s.call(c)
+		go s.call(s.lessor, c)
 	}
 	if len(e.Changes) > 0 {
 		s.pending = true
@@ -271,7 +279,7 @@
 }
 
 // call makes one call at a target, if this host still leads.
-func (s *Overseer) call(c lessor.CallMsg) {
+func (s *Overseer) call(l *lessor.Lessor, c lessor.CallMsg) {
 	timeout := grantTimeout
 	if c.Release {
 		timeout = releaseTimeout
@@ -288,7 +296,10 @@
 		m = s.opts.Caller.Call(ctx, c)
 	}
 	select {
-	case s.answers <- m:
+	case s.answers <- answer{
+		lessor: l,
+		msg:    m,
+	}:
 	case <-s.ctx.Done():
 	}
 }
