Refuse tables with a route without a timeout or weights

Change: a route without a timeout, a part without a weight and a split whose weights are all 0 are findings.

Ruled out: a host that regressed (its table was version 21 all the time), a prefix that was matched wrongly, and the full disk of a control host.

Conclusion: weights and timeouts are refused alike when they say nothing.

--- a/matcher/check.go
+++ b/matcher/check.go
@@ -16,13 +16,18 @@
 			find("route %s: has the same host and prefix as route %s", r.Name, first)
 		}
 		places[place] = r.Name
+		if r.Timeout <= 0 {
+			find("route %s: has no timeout", r.Name)
+		}
 		if r.Timeout > MaxTimeout {
 			find("route %s: timeout %s is over %s", r.Name, r.Timeout, MaxTimeout)
 		}
 		if len(r.Split) == 0 {
 			find("route %s: names no service", r.Name)
 		}
+		total := 0.0
 		for _, p := range r.Split {
+			total += p.Weight
 			if _, ok := t.Services[p.Service]; !ok {
 				find("route %s: service %q is not known", r.Name, p.Service)
 			}
@@ -30,6 +35,9 @@
 				find("route %s: weight %g of service %s is below 0", r.Name, p.Weight, p.Service)
 			}
 		}
+		if len(r.Split) > 0 && total == 0 {
+			find("route %s: no service has a weight", r.Name)
+		}
 	}
 	return findings
 }
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -15,9 +15,10 @@
 
 func route(name, host, prefix string) Route {
 	return Route{
-		Name:   name,
-		Host:   host,
-		Prefix: prefix,
+		Name:    name,
+		Host:    host,
+		Prefix:  prefix,
+		Timeout: time.Second,
 		Split: []Part{{
 			Service: "tally",
 			Weight:  1,
@@ -56,13 +57,17 @@
 	}
 	none := route("none", "a.example", "/o/")
 	none.Split = nil
-	tb := table(route("one", "a.example", "/x/"), route("two", "A.example", "/x/"), long, lost, none)
+	still := route("still", "a.example", "/p/")
+	still.Timeout, still.Split[0].Weight = 0, 0
+	tb := table(route("one", "a.example", "/x/"), route("two", "A.example", "/x/"), long, lost, none, still)
 	c.Assert(tb.Check(), qt.DeepEquals, []string{
 		"route two: has the same host and prefix as route one",
 		"route long: timeout 1h0m0s is over 10m0s",
 		`route lost: service "nowhere" is not known`,
 		"route lost: weight -1 of service nowhere is below 0",
 		"route none: names no service",
+		"route still: has no timeout",
+		"route still: no service has a weight",
 	})
 	c.Assert(table(route("one", "a.example", "/x/")).Check(), qt.IsNil)
 }
