Remove copies, dead parts and repeated work found by reading the change

Cause: one more reading of the whole change.

- Searches of lists and the comparison of splits are those of package slices.
- Control hosts were listed in three places, in clerk by appending to a list that belongs to the immutable state, which concurrent announcements share: State.Members returns a list of the caller's own.
- Founders are the seeds that seedSources names already.
- Dead: sender.Request.MaxIdle, the setting retryWindow, selector.Need.Limit.
- A request's content was hashed for each attempt and each look; now once.
- Each pull of the state woke up every 50 ms to look for a stall; now only when one may be there.
- lessor: the note of a release is the handover itself; one condition is said once.

Behaviour stays, apart from the setting retryWindow, which had no effect and is now an unknown name. No assertion changed; the field Limit is gone from one literal in a test.

Left: lessor.CallMsg.Release follows from Grant; viewer.Pool.Owner and registrar.Find search alike; overseer and viewer.Builder each keep the decoded table; registrar.Change.Remove is not proposed by anything yet.

--- a/applier/state.go
+++ b/applier/state.go
@@ -3,6 +3,7 @@
 package applier
 
 import (
+	"slices"
 	"time"
 
 	"bramleyline.example/bramleyline/fencer"
@@ -33,6 +34,11 @@
 	answered *answers
 }
 
+// Members returns the names of all members of the control group, the voters first. The list is the caller's own.
+func (s *State) Members() []string {
+	return slices.Concat(s.Voters, s.Learners)
+}
+
 // StoredConfig is an accepted configuration as text.
 type StoredConfig struct {
 	Version uint64
--- a/clerk/clerk.go
+++ b/clerk/clerk.go
@@ -2,10 +2,8 @@
 package clerk
 
 import (
-	"bytes"
 	"compress/flate"
 	"context"
-	"io"
 	"net/netip"
 	"time"
 
@@ -14,6 +12,7 @@
 
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/packer"
 	"bramleyline.example/bramleyline/registrar"
 )
 
@@ -71,7 +70,7 @@
 	if st.Hosts[c.Name].DataCentre == dataCentre {
 		return netip.AddrPort{}
 	}
-	for _, name := range append(st.Voters, st.Learners...) {
+	for _, name := range st.Members() {
 		if h := st.Hosts[name]; h.DataCentre == dataCentre && h.Announce.IsValid() {
 			return h.Announce
 		}
@@ -100,7 +99,7 @@
 	if c.State.State().Registry.Table.Version >= t.Version {
 		return nil
 	}
-	body, err := pack(text)
+	body, err := packer.Pack(text, flate.DefaultCompression)
 	if err != nil {
 		return err
 	}
@@ -151,23 +150,6 @@
 
 // Text returns the text of a stored table.
 func Text(d registrar.Document) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(d.Body))
-	text, err := io.ReadAll(io.LimitReader(r, maxTable))
+	text, err := packer.Unpack(d.Body, maxTable)
 	return text, errors.Wrap(err, "stored table")
 }
-
-// pack compresses a text: a table is sent to every host.
-func pack(text []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.DefaultCompression)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if _, err := w.Write(text); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	return b.Bytes(), nil
-}
--- a/director/control.go
+++ b/director/control.go
@@ -45,9 +45,8 @@
 func (d *Director) startControl() error {
 	s := d.settings
 	founders := make(map[string]netip.AddrPort)
-	for _, seed := range s.Direct.Seeds {
-		addr := d.rpcOf(seed)
-		founders[founderName(addr)] = addr
+	for _, seed := range d.seedSources() {
+		founders[seed.Name] = seed.Addr
 	}
 	name, err := identity(s.DataFolder, s.Listen.RPC, s.Direct.Found && founders[founderName(s.Listen.RPC)].IsValid())
 	if err != nil {
--- a/director/director.go
+++ b/director/director.go
@@ -205,7 +205,7 @@
 	known := make(map[netip.AddrPort]bool)
 	if d.source != nil {
 		st := d.source.State()
-		for _, name := range append(append([]string(nil), st.Voters...), st.Learners...) {
+		for _, name := range st.Members() {
 			if h := st.Hosts[name]; h.RPC.IsValid() {
 				hosts[name] = h.RPC
 				known[h.RPC] = true
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -214,7 +214,7 @@
 func (f *Follower) near() []Source {
 	st := f.State()
 	var sources []Source
-	for _, name := range append(slices.Clone(st.Voters), st.Learners...) {
+	for _, name := range st.Members() {
 		h := st.Hosts[name]
 		failed := h.RPC == f.avoid && timekeeper.Now().Before(f.avoidUntil)
 		if f.dataCentre != "" && h.DataCentre == f.dataCentre && h.RPC.IsValid() && !failed {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -4,11 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"bramleyline.example/bramleyline/acceptor"
-	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/viewer"
@@ -20,7 +20,7 @@
 	start := time.Now()
 	x.sends++
 	x.comeBack = returnNoTarget
-	if !containsLife(x.tried, t.Life) {
+	if !slices.Contains(x.tried, t.Life) {
 		x.tried = append(x.tried, t.Life)
 	}
 	work := x.f.workOf(x.route.Name)
@@ -202,12 +202,3 @@
 	}
 	x.f.opts.Meter.Pace(x.service.Name, t.ID, res.Took, res.Work)
 }
-
-func containsLife(lives []registrar.Life, life registrar.Life) bool {
-	for _, l := range lives {
-		if l == life {
-			return true
-		}
-	}
-	return false
-}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -67,6 +67,8 @@
 	service matcher.Service
 	limit   time.Time
 	header  http.Header
+	// content is the fingerprint of the request, zero until it is asked for.
+	content uint64
 
 	tried []registrar.Life
 	sends int
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,7 +164,7 @@
 	for _, p := range parts {
 		total += p.Weight
 	}
-	if !equal(s.parts, parts) {
+	if !slices.Equal(s.parts, parts) {
 		s.parts, s.credits = parts, make([]float64, len(parts))
 		for i, p := range parts {
 			// Hosts start at different places, so that they do not all begin with the same service.
@@ -181,18 +182,6 @@
 	return parts[best].Service
 }
 
-func equal(a, b []matcher.Part) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // hopByHop has the headers that concern one connection only.
 var hopByHop = map[string]bool{
 	"Connection":          true,
--- a/forwarder/owner.go
+++ b/forwarder/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bramleyline.example/bramleyline/acceptor"
@@ -23,10 +24,9 @@
 	need := selector.Need{
 		Work:      x.f.workOf(x.route.Name).expected(),
 		Objective: x.route.Objective - now.Sub(x.req.Arrived),
-		Limit:     x.limit.Sub(now),
 	}
 	if t := x.f.opts.Selector.Choose(now, pool, need, x.tried); t != nil {
-		if e := x.f.opts.Selector.Estimate(now, t, need.Work); e.Wait < need.Limit {
+		if e := x.f.opts.Selector.Estimate(now, t, need.Work); e.Wait < x.limit.Sub(now) {
 			return t, nil
 		}
 		return nil, x.giveUp(reasonOverloaded, returnNoTarget)
@@ -41,7 +41,7 @@
 func (x *exchange) coldTarget(now time.Time, v *viewer.View, pool *viewer.Pool) *viewer.Target {
 	for i := range pool.Targets {
 		t := &pool.Targets[i]
-		if !t.Cold || t.Draining || t.Out || containsLife(x.tried, t.Life) {
+		if !t.Cold || t.Draining || t.Out || slices.Contains(x.tried, t.Life) {
 			continue
 		}
 		if x.takeCold(now, v, t) {
--- a/forwarder/suspect.go
+++ b/forwarder/suspect.go
@@ -26,11 +26,15 @@
 	returnSuspect = 30 * time.Second
 )
 
-// suspect identifies the request by its content: a caller that sends it again gives it another identity.
+// suspect identifies the request by its content: a caller that sends it again gives it another identity. The content is
+// hashed once.
 func (x *exchange) suspect() quarantiner.Request {
+	if x.content == 0 {
+		x.content = fingerprint(x.req)
+	}
 	return quarantiner.Request{
 		Service:     x.service.Name,
-		Fingerprint: fingerprint(x.req),
+		Fingerprint: x.content,
 	}
 }
 
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -80,8 +80,8 @@
 	holders map[registrar.Life]*holder
 	// moves has the next owner of each span that is being released, by service and first key.
 	moves map[spanKey]registrar.Life
-	// released has the spans that their owner has given up.
-	released map[spanKey]releaseNote
+	// released has the spans that their owner has given up, with the handover.
+	released map[spanKey]string
 	planned  map[string]time.Time
 	// moved has the spans that planned moves took away lately.
 	moved    map[string][]movedSpan
@@ -105,10 +105,6 @@
 	at   time.Time
 }
 
-type releaseNote struct {
-	handover string
-}
-
 // holder is what is known of one life of a target.
 type holder struct {
 	// until is when the last of all that was granted to the life has lapsed at the latest.
@@ -140,7 +136,7 @@
 		elected:  elected,
 		holders:  make(map[registrar.Life]*holder),
 		moves:    make(map[spanKey]registrar.Life),
-		released: make(map[spanKey]releaseNote),
+		released: make(map[spanKey]string),
 		planned:  make(map[string]time.Time),
 		moved:    make(map[string][]movedSpan),
 		joined:   make(map[registrar.Life]time.Time),
@@ -226,7 +222,7 @@
 	if !l.view.Pending {
 		maps.DeleteFunc(l.moves, func(k spanKey, _ registrar.Life) bool { return absent(k) })
 	}
-	maps.DeleteFunc(l.released, func(k spanKey, _ releaseNote) bool { return absent(k) })
+	maps.DeleteFunc(l.released, func(k spanKey, _ string) bool { return absent(k) })
 	for life, h := range l.holders {
 		maps.DeleteFunc(h.grants, func(k spanKey, _ time.Time) bool { return absent(k) })
 		maps.DeleteFunc(h.confirmed, func(f uint64, _ []registrar.Span) bool { return !fences[f] })
@@ -263,9 +259,7 @@
 		return
 	}
 	if m.Answered && m.OK {
-		l.released[key] = releaseNote{
-			handover: m.Handover,
-		}
+		l.released[key] = m.Handover
 		delete(h.grants, key)
 	}
 }
--- a/lessor/service.go
+++ b/lessor/service.go
@@ -134,11 +134,12 @@
 	if h.failures >= deadAfter && h.lapsed(l.now) {
 		return isFree
 	}
-	clean := h.clean(l.now, r.Fence, key.span)
-	if clean && l.leaving(t) {
+	leaving := l.leaving(t)
+	if leaving && h.clean(l.now, r.Fence, key.span) {
 		return isLeaving
 	}
-	if !clean && h.failures == 0 && l.now.Before(h.doubt[r.Fence]) && l.leaving(t) || h.fenced[r.Fence] {
+	doubtful := l.now.Before(h.doubt[r.Fence])
+	if leaving && doubtful && h.failures == 0 || h.fenced[r.Fence] {
 		l.raise(service, r)
 		return isHeld
 	}
@@ -212,7 +213,7 @@
 		// A fence is sent over a new connection only once.
 		SameConnection: grant != nil && h.used[key.fence],
 	})
-	if grant != nil && !h.used[key.fence] {
+	if grant != nil {
 		h.used[key.fence] = true
 	}
 }
@@ -244,18 +245,18 @@
 			To:   r.To,
 		}
 		key := keyOfRange(service, r)
-		note := l.released[key]
+		handover := l.released[key]
 		to, planned := l.moves[key]
 		if planned && open[to] {
 			grants = append(grants, registrar.Grant{
 				From:     r.From,
 				To:       r.To,
 				Owner:    to,
-				Handover: note.handover,
+				Handover: handover,
 			})
 			continue
 		}
-		handovers[s] = note.handover
+		handovers[s] = handover
 		rest = append(rest, s)
 	}
 	grants = append(grants, l.spread(service, ranges, targets, rest, handovers)...)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -62,33 +62,38 @@
 	failedAt time.Time
 }
 
-// stallCheck is the interval at which a call with a large answer looks whether bytes still arrive.
-const stallCheck = 50 * time.Millisecond
-
 // CallLarge is Call for an answer that may take long to arrive: it also ends, with ErrTimeout, when nothing was read from
 // the connection for stall.
 func (m *Messenger) CallLarge(ctx context.Context, addr netip.AddrPort, stall time.Duration, method string, args, reply any) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		started := time.Now()
-		ticker := time.NewTicker(stallCheck)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			if last := m.lastRead(addr); time.Since(started) > stall && time.Since(last) > stall {
-				cancel()
-				return
-			}
-		}
-	}()
+	go m.cancelStalled(ctx, cancel, addr, stall)
 	return m.Call(ctx, addr, method, args, reply)
 }
 
+// cancelStalled cancels a call when nothing was read from addr for stall. It wakes up only when that may be so.
+func (m *Messenger) cancelStalled(ctx context.Context, cancel context.CancelFunc, addr netip.AddrPort, stall time.Duration) {
+	since := time.Now()
+	timer := time.NewTimer(stall)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if last := m.lastRead(addr); last.After(since) {
+			since = last
+		}
+		rest := stall - time.Since(since)
+		if rest <= 0 {
+			cancel()
+			return
+		}
+		timer.Reset(rest)
+	}
+}
+
 // lastRead returns when anything was read from the connection to addr, the zero time if there is none.
 func (m *Messenger) lastRead(addr netip.AddrPort) time.Time {
 	m.mu.Lock()
--- /dev/null
+++ b/packer/packer.go
@@ -0,0 +1,41 @@
+// Package packer compresses what hosts send to each other over slow links: traffic tables and snapshots.
+package packer
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// ErrTooLong reports packed bytes that hold more than the caller takes.
+var ErrTooLong = errors.New("unpacked bytes are too long")
+
+// Pack compresses b at a level of package flate.
+func Pack(b []byte, level int) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, level)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack returns what Pack compressed, of at most limit bytes; else the error is ErrTooLong.
+func Unpack(b []byte, limit int64) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	if int64(len(out)) > limit {
+		return nil, errors.Wrapf(ErrTooLong, "over %d", limit)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/packer/packer_test.go
@@ -0,0 +1,26 @@
+package packer
+
+import (
+	"bytes"
+	"compress/flate"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// Guards against bytes that are cut off without an error, whether they are damaged or too long.
+func TestUnpackReturnsAllOrAnError(t *testing.T) {
+	c := qt.New(t)
+	text := bytes.Repeat([]byte("route "), 1000)
+	b, err := Pack(text, flate.BestSpeed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(b) < len(text)/10, qt.IsTrue)
+	got, err := Unpack(b, int64(len(text)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, text)
+	_, err = Unpack(b, int64(len(text))-1)
+	c.Assert(errors.Is(err, ErrTooLong), qt.IsTrue)
+	_, err = Unpack(b[:len(b)/2], int64(len(text)))
+	c.Assert(err, qt.IsNotNil)
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -3,6 +3,7 @@
 package selector
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -50,9 +51,8 @@
 type Need struct {
 	// Work is the expected time at an idle target of usual speed.
 	Work time.Duration
-	// Objective is the time within which the answer is on time, Limit the time until the request is given up.
+	// Objective is the time within which the answer is on time.
 	Objective time.Duration
-	Limit     time.Duration
 }
 
 // Selector is safe for concurrent use. Its zero value knows nothing.
@@ -136,10 +136,10 @@
 func (s *Selector) Choose(now time.Time, p *viewer.Pool, n Need, tried []registrar.Life) *viewer.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var local, any, last candidate
+	var local, overall, last candidate
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if !usable(t) || t.Cold || contains(tried, t.Life) {
+		if !usable(t) || t.Cold || slices.Contains(tried, t.Life) {
 			continue
 		}
 		st := s.stat(t.Life)
@@ -150,16 +150,16 @@
 		}
 		if t.DataCentre == s.DataCentre {
 			local.offer(t, score)
-			any.offer(t, score)
+			overall.offer(t, score)
 			continue
 		}
-		any.offer(t, score*remotePenalty)
+		overall.offer(t, score*remotePenalty)
 	}
 	if local.target != nil && local.score < localShare*float64(n.Objective) {
 		return local.target
 	}
-	if any.target != nil {
-		return any.target
+	if overall.target != nil {
+		return overall.target
 	}
 	return last.target
 }
@@ -185,15 +185,6 @@
 	return !t.Draining && !t.Out
 }
 
-func contains(lives []registrar.Life, life registrar.Life) bool {
-	for _, l := range lives {
-		if l == life {
-			return true
-		}
-	}
-	return false
-}
-
 // Begin records that a request is sent to a target.
 func (s *Selector) Begin(now time.Time, life registrar.Life) {
 	s.mu.Lock()
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -27,7 +27,6 @@
 	return Need{
 		Work:      80 * time.Millisecond,
 		Objective: 250 * time.Millisecond,
-		Limit:     600 * time.Millisecond,
 	}
 }
 
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -88,11 +88,9 @@
 	}
 }
 
-// fresh reports whether the connection was idle for so short a time that the target still keeps it. A bound of zero is
-// none.
-func (c *conn) fresh(now time.Time, bound time.Duration) bool {
-	idle := now.Sub(c.idle)
-	return (c.keep == 0 || idle < c.keep) && (bound == 0 || idle < bound)
+// fresh reports whether the connection was idle for so short a time that the target still keeps it.
+func (c *conn) fresh(now time.Time) bool {
+	return c.keep == 0 || now.Sub(c.idle) < c.keep
 }
 
 // alive reports whether an idle connection can carry a request: it is open, and nothing arrived on it unasked. Without
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -24,7 +24,7 @@
 }
 
 // acquire waits until fewer than limit connections are in use, and returns an idle connection if there is one.
-func (p *pool) acquire(ctx context.Context, limit int, maxIdle time.Duration) (*conn, error) {
+func (p *pool) acquire(ctx context.Context, limit int) (*conn, error) {
 	p.mu.Lock()
 	p.limit = max(1, limit)
 	if p.ended {
@@ -50,7 +50,7 @@
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		p.mu.Unlock()
-		if c.fresh(time.Now(), maxIdle) && c.alive() {
+		if c.fresh(time.Now()) && c.alive() {
 			return c, nil
 		}
 		_ = c.Close()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -44,8 +44,6 @@
 	EchoOptional bool
 	// Undelimited allows an answer without a length, which ends with its connection.
 	Undelimited bool
-	// MaxIdle bounds how long the connection was idle before; zero means as long as the target keeps it.
-	MaxIdle time.Duration
 	// Deadline bounds the attempt up to the last byte of the answer.
 	Deadline time.Time
 	// Connections bounds the open connections to Addr.
@@ -128,7 +126,7 @@
 		default:
 		}
 		p := s.pool(r.Addr)
-		c, err := p.acquire(ctx, r.Connections, r.MaxIdle)
+		c, err := p.acquire(ctx, r.Connections)
 		if err == nil || !errors.Is(err, ErrClosed) {
 			return p, c, err
 		}
--- a/settler/direct.go
+++ b/settler/direct.go
@@ -45,11 +45,9 @@
 	DrainTime time.Duration
 	OutTime   time.Duration
 	Grace     time.Duration
-	// RetryShare and RetrySlack bound the repeats of all hosts together in RetryWindow: a share of the requests and a
-	// number beyond it.
-	RetryShare  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryShare and RetrySlack bound the repeats of all hosts together: a share of the requests and a number beyond it.
+	RetryShare float64
+	RetrySlack float64
 	// ColdFactor and ColdSlack bound the requests of all hosts to a cold target in a second: its rate times the factor and
 	// a number beyond it.
 	ColdFactor float64
@@ -62,7 +60,7 @@
 		"listen": {"caller", "ready", "control", "rpc", "metrics"},
 		"direct": {
 			"seeds", "found", "hostLosses", "hold", "drainTime", "outTime", "grace", "retryShare", "retrySlack",
-			"retryWindow", "coldFactor", "coldSlack",
+			"coldFactor", "coldSlack",
 		},
 		"keys": {"system", "systemFile"},
 	}
@@ -84,22 +82,21 @@
 	r.settings.Listen.Caller = r.listenAddr("caller", entry, true)
 	r.settings.Listen.RPC = r.listenAddr("rpc", true, false)
 	r.settings.Direct = &Direct{
-		Ready:       r.listenAddr("ready", entry, true),
-		Control:     r.listenAddr("control", control, false),
-		Metrics:     r.listenAddr("metrics", false, true),
-		Seeds:       r.seeds(),
-		Found:       r.choice("direct", "found", "false", "true", "false") == "true",
-		HostLosses:  int(r.number("direct", "hostLosses", 1)),
-		Memory:      int64(r.number("host", "memory", 0) * (1 << 20)),
-		Hold:        r.duration("hold", defaultHold),
-		DrainTime:   r.duration("drainTime", defaultDrainTime),
-		OutTime:     r.duration("outTime", defaultOutTime),
-		Grace:       r.duration("grace", defaultGrace),
-		RetryShare:  r.number("direct", "retryShare", 0.2),
-		RetrySlack:  r.number("direct", "retrySlack", 0),
-		RetryWindow: r.duration("retryWindow", 10*time.Second),
-		ColdFactor:  r.number("direct", "coldFactor", 1),
-		ColdSlack:   r.number("direct", "coldSlack", 0),
+		Ready:      r.listenAddr("ready", entry, true),
+		Control:    r.listenAddr("control", control, false),
+		Metrics:    r.listenAddr("metrics", false, true),
+		Seeds:      r.seeds(),
+		Found:      r.choice("direct", "found", "false", "true", "false") == "true",
+		HostLosses: int(r.number("direct", "hostLosses", 1)),
+		Memory:     int64(r.number("host", "memory", 0) * (1 << 20)),
+		Hold:       r.duration("hold", defaultHold),
+		DrainTime:  r.duration("drainTime", defaultDrainTime),
+		OutTime:    r.duration("outTime", defaultOutTime),
+		Grace:      r.duration("grace", defaultGrace),
+		RetryShare: r.number("direct", "retryShare", 0.2),
+		RetrySlack: r.number("direct", "retrySlack", 0),
+		ColdFactor: r.number("direct", "coldFactor", 1),
+		ColdSlack:  r.number("direct", "coldSlack", 0),
 	}
 }
 
