Hand a connection over together with its token

Cause: a caller that gave its connection back woke up a waiting caller, which took the connection later as an idle one. Until it did, the pool counted the token and the idle connection as two. The next connection that was given back then seemed to exceed the limit and was closed, after its token had gone to another waiter, which opened a third one meanwhile.

Change: the connection goes through the channel of the waiter. Idle connections and tokens together stay within the limit at any time. One loop looks whether a connection can be used, handed over or idle.

Ruled out: a server that notices a close late. No connection is closed any more in the test, so the order at the server does not matter.

--- a/sender/pool.go
+++ b/sender/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -11,67 +12,91 @@
 // idleTime is how long an unused connection is kept. It is shorter than the idle time-outs common at servers (60 s).
 const idleTime = 30 * time.Second
 
-// pool has the connections to one address. Its size is bounded by tokens, one for each open connection in use.
+// pool has the connections to one address. Its size is bounded by tokens, one for each open connection in use: idle
+// connections and tokens together never exceed the limit unless that was lowered.
 type pool struct {
 	addr netip.AddrPort
 
-	mu    sync.Mutex
-	idle  []*conn
-	used  int
-	wait  []chan struct{}
+	mu   sync.Mutex
+	idle []*conn
+	used int
+	// wait has the callers that wait for a token. Each gets one with the connection of whoever gave it back, nil if that
+	// was closed.
+	wait  []chan *conn
 	limit int
 	ended bool
 }
 
 // acquire waits until fewer than limit connections are in use, and returns an idle connection if there is one.
 func (p *pool) acquire(ctx context.Context, limit int) (*conn, error) {
+	c, err := p.token(ctx, limit)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		if c != nil {
+			if c.fresh(time.Now()) && c.alive() {
+				return c, nil
+			}
+			_ = c.Close()
+		}
+		p.mu.Lock()
+		c = p.popIdle()
+		p.mu.Unlock()
+		if c == nil {
+			return nil, nil
+		}
+	}
+}
+
+// token waits for the right to use a connection, and returns an unused one if there is one.
+func (p *pool) token(ctx context.Context, limit int) (*conn, error) {
 	p.mu.Lock()
 	p.limit = max(1, limit)
 	if p.ended {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if p.used >= p.limit {
-		ch := make(chan struct{})
-		p.wait = append(p.wait, ch)
-		p.mu.Unlock()
-		select {
-		case <-ch:
-			// The connection in use was passed on, so used already counts this caller.
-		case <-ctx.Done():
-			p.abandon(ch)
-			return nil, ctx.Err()
-		}
-		p.mu.Lock()
-	} else {
+	if p.used < p.limit {
 		p.used++
-	}
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+		c := p.popIdle()
 		p.mu.Unlock()
-		if c.fresh(time.Now()) && c.alive() {
-			return c, nil
-		}
-		_ = c.Close()
-		p.mu.Lock()
+		return c, nil
 	}
+	ch := make(chan *conn, 1)
+	p.wait = append(p.wait, ch)
 	p.mu.Unlock()
-	return nil, nil
+	select {
+	case c := <-ch:
+		return c, nil
+	case <-ctx.Done():
+		p.abandon(ch)
+		return nil, ctx.Err()
+	}
+}
+
+// popIdle returns the connection that was used last, nil if there is none. The caller holds the lock.
+func (p *pool) popIdle() *conn {
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
 }
 
 // abandon removes a waiter, or passes its turn on if it came at the same moment.
-func (p *pool) abandon(ch chan struct{}) {
+func (p *pool) abandon(ch chan *conn) {
 	p.mu.Lock()
-	for i, w := range p.wait {
-		if w == ch {
-			p.wait = append(p.wait[:i], p.wait[i+1:]...)
-			p.mu.Unlock()
-			return
-		}
+	i := slices.Index(p.wait, ch)
+	if i >= 0 {
+		p.wait = slices.Delete(p.wait, i, i+1)
 	}
 	p.mu.Unlock()
-	p.release(nil)
+	if i < 0 {
+		p.release(<-ch)
+	}
 }
 
 // dial opens a connection; the caller has acquired its place before.
@@ -104,26 +129,28 @@
 	return newConn(secure, c, p), nil
 }
 
-// release gives a place back; c is kept for another request unless it is nil.
+// release gives a token back; c is kept for another request unless it is nil.
 func (p *pool) release(c *conn) {
 	now := time.Now()
-	var old []*conn
 	p.mu.Lock()
+	old := p.expire(now)
 	if c != nil {
 		c.idle = now
 		if p.ended || len(p.idle)+p.used > p.limit {
 			old = append(old, c)
-		} else {
-			p.idle = append(p.idle, c)
+			c = nil
 		}
 	}
-	old = append(old, p.expire(now)...)
 	if len(p.wait) > 0 && p.used <= p.limit {
-		ch := p.wait[0]
+		// The connection goes with the token. As an idle one it could go to another caller, and this one would open a
+		// connection beyond the limit.
+		p.wait[0] <- c
 		p.wait = p.wait[1:]
-		close(ch)
 	} else {
 		p.used--
+		if c != nil {
+			p.idle = append(p.idle, c)
+		}
 	}
 	p.mu.Unlock()
 	for _, c := range old {
