Let announcements wait for a fresh state after a start

Cause: after all control hosts lost power, each began with an empty state, so every announcement of the 322 targets looked new and was proposed, once a second and at all hosts, before there was a leader. The proposals kept the processors busy while the election waited, and each one that was committed later went to 74 entry hosts.

Change: an announcement that seems to be new waits until the host's state is fresh, for 0.9 s at most, and is looked at again. Without a fresh state it is refused and the target asks another host. What changes nothing is acknowledged as before.

Ruled out: the proposals of entry hosts that register (74, once).

--- a/clerk/clerk.go
+++ b/clerk/clerk.go
@@ -22,6 +22,10 @@
 	// freshState is the greatest lag at which this host may say which table is the newest: half of the 2 s in which a
 	// table has to be in force.
 	freshState = time.Second
+	// freshWait is how long an announcement waits for a fresh state: its sender turns to another host after a second.
+	// freshInterval is the time between two looks.
+	freshWait     = 900 * time.Millisecond
+	freshInterval = 20 * time.Millisecond
 	// maxTable bounds the text of a table.
 	maxTable = 64 << 20
 )
@@ -53,6 +57,13 @@
 // Announce makes durable what a target says of itself, if that is new.
 func (c *Clerk) Announce(ctx context.Context, t registrar.Target) (netip.AddrPort, error) {
 	st := c.State.State()
+	if st.Registry.Changes(t) && c.State.Lag() > freshState {
+		// A host that has just started knows little, and would propose again what the log has of every target.
+		if err := c.awaitFresh(ctx); err != nil {
+			return netip.AddrPort{}, err
+		}
+		st = c.State.State()
+	}
 	if st.Registry.Changes(t) {
 		if err := c.propose(ctx, registrar.Change{
 			Announce: &t,
@@ -65,6 +76,22 @@
 	return c.nearer(st, t.DataCentre), nil
 }
 
+// awaitFresh waits until this host's state is the newest, or about as long as a target waits for the answer.
+func (c *Clerk) awaitFresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, freshWait)
+	defer cancel()
+	ticker := time.NewTicker(freshInterval)
+	defer ticker.Stop()
+	for c.State.Lag() > freshState {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(ErrUncertain, "announcement of a target")
+		}
+	}
+	return nil
+}
+
 // nearer returns where a control host of the target's data centre takes announcements, if this is not one.
 func (c *Clerk) nearer(st *applier.State, dataCentre string) netip.AddrPort {
 	if st.Hosts[c.Name].DataCentre == dataCentre {
