Tell members the sender's address with each message

Change: messages between members carry the sender's rpc address. It is used for a member that neither the settings nor the log know.

Test: TestNewMemberCatchesUpFromALeaderThatItDoesNotKnow failed before.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -57,7 +57,9 @@
 	// recovering is shown while the host does not vote because its disk was empty.
 	recovering atomic.Bool
 
-	inbox     chan replicator.Message
+	inbox chan replicator.Message
+	// senders has the rpc address of each member that sent a message and told it.
+	senders   sync.Map
 	requests  chan request
 	snapshots chan encodedSnapshot
 
--- a/controller/group_test.go
+++ b/controller/group_test.go
@@ -91,6 +91,7 @@
 	}
 	ctl, err := controller.New(append([]controller.Option{
 		controller.WithName(name),
+		controller.WithAddr(ln.Addr().(*net.TCPAddr).AddrPort()),
 		controller.WithVoters(voters),
 		controller.WithDataFolder(g.folders[name]),
 		controller.WithTiming(timing),
@@ -315,3 +316,29 @@
 	c.Assert(len(g.hosts["host4"].State().Voters), qt.Equals, 3)
 	c.Assert(len(g.hosts["host4"].Members()), qt.Equals, 3)
 }
+
+// A new member must catch up from a leader that is not one of the first voters, whose address it learns only from the
+// leader's messages. Found by the soak (seed 13): the member could not answer and got heartbeats only.
+func TestNewMemberCatchesUpFromALeaderThatItDoesNotKnow(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, 1)
+	g.takeOut("a", "dc1")
+	first := g.hosts[g.leader()]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	join := func(leader *controller.Controller, name string) {
+		ln := listen(c, "127.0.0.1:0")
+		g.folders[name] = c.TempDir()
+		g.start(name, ln)
+		c.Assert(leader.AddLearner(ctx, name, ln.Addr().(*net.TCPAddr).AddrPort()), qt.IsNil)
+	}
+	join(first, "host2")
+	g.eventually("promotion", func() bool { return first.Promote(ctx, "host2") == nil })
+	g.eventually("removal", func() bool { return first.Remove(ctx, "host1") == nil })
+	g.stop("host1")
+	c.Assert(g.leader(), qt.Equals, "host2")
+	join(g.hosts["host2"], "host3")
+	g.eventually("the state of the leader at the new member", func() bool {
+		return g.hosts["host3"].State().Index >= g.hosts["host2"].State().Index
+	})
+}
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -280,7 +280,7 @@
 	for _, m := range messages {
 		p, ok := c.peers[m.To]
 		if !ok {
-			p = startPeer(c.settings.messenger, c.settings.timing.ElectionTimeout)
+			p = startPeer(c.settings.messenger, c.settings.addr, c.settings.timing.ElectionTimeout)
 			c.peers[m.To] = p
 		}
 		p.send(c.address(m.To), m)
--- a/controller/options.go
+++ b/controller/options.go
@@ -17,6 +17,7 @@
 
 type settings struct {
 	name          string
+	addr          netip.AddrPort
 	voters        map[string]netip.AddrPort
 	fileSystem    journaler.FileSystem
 	timing        configurer.Timing
@@ -35,6 +36,12 @@
 	return func(s *settings) { s.name = name }
 }
 
+// WithAddr sets the rpc address of this host, which it tells other members with its messages. A new member does not know
+// the address of a leader that is not one of the first voters.
+func WithAddr(addr netip.AddrPort) Option {
+	return func(s *settings) { s.addr = addr }
+}
+
 // WithVoters sets the first voters and their rpc addresses. All first voters must be given the same list. The addresses
 // go before those in the log, so that a host can get another address.
 func WithVoters(voters map[string]netip.AddrPort) Option {
--- a/controller/peer.go
+++ b/controller/peer.go
@@ -19,11 +19,13 @@
 // peer sends messages to one other member, one call at a time.
 type peer struct {
 	messenger *messenger.Messenger
-	timeout   time.Duration
-	queue     chan addressedMessage
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// from is the address of this host.
+	from    netip.AddrPort
+	timeout time.Duration
+	queue   chan addressedMessage
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 type addressedMessage struct {
@@ -31,9 +33,10 @@
 	message replicator.Message
 }
 
-func startPeer(m *messenger.Messenger, timeout time.Duration) *peer {
+func startPeer(m *messenger.Messenger, from netip.AddrPort, timeout time.Duration) *peer {
 	p := peer{
 		messenger: m,
+		from:      from,
 		timeout:   timeout,
 		queue:     make(chan addressedMessage, peerQueue),
 		done:      make(chan struct{}),
@@ -78,6 +81,7 @@
 func (p *peer) deliver(first addressedMessage) {
 	args := DeliverArgs{
 		Messages: []replicator.Message{first.message},
+		From:     p.from,
 	}
 	size := messageBytes(first.message)
 	for size < peerBatchBytes {
@@ -123,7 +127,7 @@
 }
 
 // address returns the rpc address of a member. The settings go first, then what the host registered, then the member
-// list.
+// list, and then what the member said in its last message.
 func (c *Controller) address(name string) netip.AddrPort {
 	if addr, ok := c.settings.voters[name]; ok {
 		return addr
@@ -136,5 +140,8 @@
 			return m.Addr
 		}
 	}
+	if addr, ok := c.senders.Load(name); ok {
+		return addr.(netip.AddrPort)
+	}
 	return netip.AddrPort{}
 }
--- a/controller/service.go
+++ b/controller/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,8 @@
 // DeliverArgs are the arguments of Replicator.Deliver.
 type DeliverArgs struct {
 	Messages []replicator.Message
+	// From is the rpc address of the sender, invalid if it is not told.
+	From netip.AddrPort
 }
 
 // DeliverReply is empty: messages are answered by messages.
@@ -74,6 +77,9 @@
 // Deliver takes messages of other members.
 func (s *replicatorService) Deliver(args *DeliverArgs, _ *DeliverReply) error {
 	for _, m := range args.Messages {
+		if args.From.IsValid() {
+			s.c.senders.Store(m.From, args.From)
+		}
 		select {
 		case <-s.c.done:
 			return ErrStopped
--- a/director/control.go
+++ b/director/control.go
@@ -56,6 +56,7 @@
 	timing.ElectionTimeout = electionTimeout
 	options := []controller.Option{
 		controller.WithName(name),
+		controller.WithAddr(s.Listen.RPC),
 		controller.WithVoters(founders),
 		controller.WithDataFolder(s.DataFolder),
 		controller.WithMessenger(d.messenger),
