Let keys of a hung target become free, and move more keys at once in large services

Two changes of lessor that share their files.

Change: after two failed calls in a row further grants end when the earlier ones do; below a second none is sent. Ruled out: a hold that is judged too long; fences and handovers are as before. Before: keys never free while the address takes connections. After: within the hold.

Cause: six moves at a time, whatever the number of targets, and three ranges for each: 262 targets take over ten times as long as 20 until fast and slow ones are told apart and busy ones relieved. Change: one move for six targets at once, six at least; four ranges.

--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -24,8 +24,10 @@
 	retryWait = 300 * time.Millisecond
 	// planEvery is the interval at which moves are planned.
 	planEvery = 400 * time.Millisecond
-	// maxMoves bounds the ranges that are on their way from one target to another at once.
-	maxMoves = 6
+	// minMoves is the number of ranges that may always be on their way from one target to another at once. In a large
+	// service it is one for targetsPerMove targets, so that it is balanced in the same time as a small one.
+	minMoves       = 6
+	targetsPerMove = 6
 	// settleTime is how long targets may go on to announce themselves before the keys of a service without any owner are
 	// divided among them.
 	settleTime = 1200 * time.Millisecond
@@ -34,6 +36,8 @@
 	// announceTime is the longest time from the start of a target until its first announcement is in the registry. A
 	// heartbeat comes each second and may be some seconds late.
 	announceTime = 8 * time.Second
+	// minHold is the least length of a grant: below it a target would hold keys for a moment only.
+	minHold = time.Second
 	// earlierFence stands for all fences that an earlier leader used.
 	earlierFence = 0
 	// restTime is how long keys stay after a planned move, and hotRestTime a single busy key: the load of a key follows
@@ -44,13 +48,15 @@
 	// at least: each range has to be renewed by itself, and each host gets all of them when it starts.
 	maxRanges = 12
 	allRanges = 480
-	minRanges = 3
+	minRanges = 4
 )
 
 // Settings are the figures that a Lessor works with.
 type Settings struct {
 	// Hold is the length of a grant.
 	Hold time.Duration
+	// CallTimeout is how long a grant may be on its way before it is given up.
+	CallTimeout time.Duration
 }
 
 // View is what the Lessor decides on.
@@ -178,6 +184,16 @@
 	return t.Add(l.settings.Hold + leaser.DefaultMargin(l.settings.Hold))
 }
 
+// holdFor returns the length of the next grant to h. A target that leaves calls without an answer may be gone for good, so
+// its keys must become free in the end: further grants end with the earlier ones.
+func (l *Lessor) holdFor(h *holder) time.Duration {
+	if h.failures < deadAfter {
+		return l.settings.Hold
+	}
+	left := h.until.Sub(l.now) - leaser.DefaultMargin(l.settings.Hold) - l.settings.CallTimeout
+	return min(l.settings.Hold, left)
+}
+
 func (l *Lessor) holder(life registrar.Life) *holder {
 	h, ok := l.holders[life]
 	if !ok {
@@ -271,7 +287,7 @@
 	if !m.Call.SameConnection {
 		h.dialed = now
 	}
-	until := l.lapse(now)
+	until := now.Add(m.Call.Grant.Hold + leaser.DefaultMargin(l.settings.Hold))
 	h.until = later(h.until, until)
 	if !m.Answered {
 		h.doubt[key.fence] = later(h.doubt[key.fence], until)
@@ -280,7 +296,7 @@
 	switch {
 	case m.OK:
 		h.confirm(key)
-		h.grants[key] = now.Add(l.settings.Hold / renewals)
+		h.grants[key] = now.Add(m.Call.Grant.Hold / renewals)
 	case m.Fenced:
 		h.fenced[key.fence] = true
 	default:
--- a/lessor/lessor_test.go
+++ b/lessor/lessor_test.go
@@ -52,6 +52,24 @@
 	c.Assert(w.served, qt.Equals, w.steps)
 }
 
+// Guards against keys that stay for ever with a target that takes connections and answers nothing: each grant without an
+// answer counts as held, so grants must not go on to extend the hold.
+func TestKeysOfAHungTargetBecomeFree(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 9, 8)
+	w.run(4 * time.Second)
+	ft := w.targets["t03"]
+	ft.hung = true
+	// Two grants of a second each fail, and the last of them lapses.
+	w.run(worldHold + 5*time.Second)
+	for _, r := range w.reg.Ranges["tally"] {
+		c.Assert(r.Owner.ID, qt.Not(qt.Equals), "t03")
+	}
+	w.served, w.steps = 0, 0
+	w.run(time.Second)
+	c.Assert(w.served, qt.Equals, w.steps)
+}
+
 // Guards against keys that are without an owner while their owner leaves as planned.
 func TestDrainingTargetGivesItsKeysAwayAtOnce(t *testing.T) {
 	c := qt.New(t)
--- a/lessor/service.go
+++ b/lessor/service.go
@@ -135,9 +135,9 @@
 		l.raise(service, r)
 		return isHeld
 	}
-	if !l.now.Before(h.grants[key]) {
+	if hold := l.holdFor(h); hold >= minHold && !l.now.Before(h.grants[key]) {
 		l.call(h, t, key, &GrantCall{
-			Hold:     l.settings.Hold,
+			Hold:     hold,
 			Handover: r.Handover,
 		})
 	}
@@ -317,6 +317,8 @@
 		return
 	}
 	l.planned[service] = l.now
+	targets := l.targets(service)
+	moves := max(minMoves, len(targets)/targetsPerMove)
 	moving := 0
 	count := make(map[registrar.Life]int)
 	for _, r := range ranges {
@@ -325,10 +327,9 @@
 			moving++
 		}
 	}
-	if moving >= maxMoves {
+	if moving >= moves {
 		return
 	}
-	targets := l.targets(service)
 	limit := min(maxRanges, max(minRanges, allRanges/max(1, len(targets))))
 	a := allotter.Allotter{
 		Sums:    w.Sums(l.now),
@@ -336,7 +337,7 @@
 		Targets: targets,
 	}
 	var spans []registrar.Span
-	for _, m := range a.Plan(maxMoves - moving) {
+	for _, m := range a.Plan(moves - moving) {
 		r, ok := registrar.Find(ranges, m.Span.From)
 		if !ok || !l.holder(r.Owner).clean(l.now, r.Fence, m.Span) || count[m.To] >= limit || l.rests(service, m.Span) {
 			continue
--- a/lessor/world_test.go
+++ b/lessor/world_test.go
@@ -36,6 +36,8 @@
 	dead   bool
 	// late says that the target leaves calls without an answer and carries them out later.
 	late bool
+	// hung says that the target takes connections and never does anything.
+	hung bool
 }
 
 type delivery struct {
@@ -126,7 +128,8 @@
 	w.term++
 	w.pending = 0
 	w.lessor = New(w.now, Settings{
-		Hold: worldHold,
+		Hold:        worldHold,
+		CallTimeout: time.Second,
 	})
 }
 
@@ -200,6 +203,8 @@
 		answer(5*time.Millisecond, AnsweredMsg{
 			Answered: true,
 		})
+	case ft.hung:
+		answer(time.Second, AnsweredMsg{})
 	case ft.late && w.rng.IntN(2) == 0:
 		arrived := w.now.Add(2 * time.Millisecond)
 		w.after(time.Duration(2+w.rng.IntN(10))*time.Second, func() { ft.take(c, arrived, w.now) })
@@ -326,7 +331,10 @@
 	if ft.dead {
 		return
 	}
-	switch w.rng.IntN(7) {
+	switch w.rng.IntN(8) {
+	case 7:
+		ft.hung = true
+		w.after(time.Duration(w.rng.IntN(20))*time.Second, func() { ft.hung = false })
 	case 0:
 		ft.cut = true
 		w.after(time.Duration(w.rng.IntN(15))*time.Second, func() { ft.cut = false })
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -243,7 +243,8 @@
 		s.opts.Log.Info("leadership began", "index", s.opts.Controller.State().Index)
 		s.since = since
 		s.lessor = lessor.New(since, lessor.Settings{
-			Hold: s.opts.Hold,
+			Hold:        s.opts.Hold,
+			CallTimeout: grantTimeout,
 		})
 	}
 	s.recruit(now)
