Try an idle owner again that turned a request away, and let new connections settle

And targets reset connections beyond their limit when they accept them: the request had been written by then, so 2,220 callers got 502 for requests that reached no target and may not send them again.

Change: a request that an owner with free slots turned away is sent there again within the budget of repeats. A new connection has to stay open for a round trip and 1 ms before the request is written; if it does not, the caller is told that nothing ran.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -95,6 +95,7 @@
 		Undelimited:  true,
 		Deadline:     x.limit,
 		Connections:  x.connections(),
+		Settle:       settleTime,
 	})
 	if fault != nil {
 		return nil, nil, fault
@@ -168,11 +169,12 @@
 func (x *exchange) turnedAway(ctx context.Context, t *viewer.Target, r Reply) bool {
 	if !r.Misdirected {
 		x.fault(t, reasonOverloaded, "target turned the request away")
-		if r.Load != nil && r.Load.Running < r.Load.Slots {
-			// It has slots free and turns work away at random.
+		// With slots free it turns work away at random, so the same target may take the next attempt.
+		room := r.Load != nil && r.Load.Running < r.Load.Slots
+		if room {
 			x.comeBack = returnAtOnce
 		}
-		return !x.service.Keyed
+		return room || !x.service.Keyed
 	}
 	x.fault(t, sender.ReasonStaleRoute, "target is another one or does not hold the key")
 	if !x.service.Keyed {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -54,6 +54,9 @@
 	// connectionShare is the share of a target's connections that all hosts together use: a target allows fewer while its
 	// queue is long, and control hosts need one.
 	connectionShare = 0.7
+	// settleTime is how long after the round trip of a new connection a target may reset it for being one too many: to
+	// accept one takes about 1 ms.
+	settleTime = time.Millisecond
 	// minConnections is what a host may use where there are many hosts.
 	minConnections = 2
 )
@@ -147,7 +150,7 @@
 			return refusal
 		}
 		if x.sends > 0 && !x.f.budget(x.service.Name).Take(x.f.opts.Limits.RetryShare) {
-			return x.giveUp(reasonOverloaded, returnNoTarget)
+			return x.giveUp(reasonOverloaded, x.comeBack)
 		}
 		a, again := x.attempt(ctx, t)
 		if a != nil {
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -113,6 +114,15 @@
 	return err == nil && alive
 }
 
+// settles reports whether a new connection is still open, with nothing to read, after at most wait.
+func (c *conn) settles(wait time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(min(wait, maxSettle)))
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }()
+	var one [1]byte
+	_, err := c.Conn.Read(one[:])
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // severed reports whether err means that the other side ended the connection.
 func severed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -48,12 +48,20 @@
 	Deadline time.Time
 	// Connections bounds the open connections to Addr.
 	Connections int
+	// Settle is how long a new connection must stay open beyond a round trip before anything is sent on it; zero means
+	// that it is used at once. A target that resets connections beyond its limit then leaves no doubt about the request.
+	Settle time.Duration
 	// TLS is used for the connection; nil means plain TCP.
 	TLS *tls.Config
 	// Check is called immediately before the first byte is written; an error turns the request away. It may be nil.
 	Check func() error
 }
 
+// maxSettle bounds the wait for a new connection to settle: a dial that took long says nothing of the round trip.
+const maxSettle = 6 * time.Millisecond
+
+var errTurnedAway = errors.New("target ended a new connection")
+
 // defaultEchoHeader is the header in which targets repeat the identity of a request.
 const defaultEchoHeader = "Bramleyline-Request"
 
@@ -104,10 +112,16 @@
 		return nil, unsent(ctx, ReasonOverloaded, errors.Wrap(err, "no free connection"))
 	}
 	if c == nil {
+		started := time.Now()
 		if c, err = p.dial(ctx, s.dial, r.TLS); err != nil {
 			p.release(nil)
 			return nil, unsent(ctx, ReasonUnreachable, err)
 		}
+		if r.Settle > 0 && !c.settles(time.Since(started)+r.Settle) {
+			_ = c.Close()
+			p.release(nil)
+			return nil, unsent(ctx, ReasonOverloaded, errTurnedAway)
+		}
 	}
 	a := attempt{
 		conn: c,
