Soak real processes with faults from outside

Change: soaker draws a plan from a seed, runs control and entry hosts as processes, puts a proxy on every connection, and kills, stops, pauses, wipes and restarts hosts, cuts, delays and resets connections, changes tables, takes data centres out, drains and crashes targets, in series and overlapping. From what callers, targets and operators see it checks: nothing runs twice, no run after a promise, fences only rise for each key, answers are whole and the caller's own, tables that were acknowledged are read back, drained targets are left alone, all keys are served 15 s after the last fault.

Address translation in the host settings serves direct dispatch too, through settler.Settings.Dialer.

Not covered: clocks and disks, which cannot be harmed from outside of a process.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -48,10 +48,11 @@
 	Serve func(ctx context.Context, s settler.Settings) error
 	// Demo runs a deployment with stand-in targets in this process.
 	Demo func(ctx context.Context, o DemoOptions) error
-	// Target and Measure get the arguments after their name, flags included. They report wrong usage with ErrUsage and
+	// Target, Measure and Soak get the arguments after their name, flags included. They report wrong usage with ErrUsage and
 	// -h with flag.ErrHelp.
 	Target  func(ctx context.Context, args []string) error
 	Measure func(ctx context.Context, args []string) error
+	Soak    func(ctx context.Context, args []string) error
 }
 
 // DemoOptions are the flags of the command demo.
@@ -93,6 +94,8 @@
 			return pass(ctx, c.Target, c.Args)
 		case "measure":
 			return pass(ctx, c.Measure, c.Args)
+		case "soak":
+			return pass(ctx, c.Soak, c.Args)
 		}
 	}
 	root := c.root()
@@ -132,6 +135,7 @@
 			c.status(),
 			shell("target", "run an emulated target", "bramleyline target -h"),
 			shell("measure", "run scenarios and write their figures", "bramleyline measure -h"),
+			shell("soak", "harm real processes at random and check what is promised", "bramleyline soak -h"),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/director/director.go
+++ b/director/director.go
@@ -114,7 +114,8 @@
 		"seeds", s.Direct.Seeds)
 	key := []byte(s.Keys.System)
 	d.messenger = &messenger.Messenger{
-		Key: key,
+		Key:  key,
+		Dial: s.Dialer(),
 	}
 	d.rpc = &messenger.Listener{
 		Key: key,
--- a/main.go
+++ b/main.go
@@ -23,6 +23,7 @@
 		Demo:    demo,
 		Target:  target,
 		Measure: measure,
+		Soak:    soak,
 	}
 	os.Exit(c.Run())
 }
--- a/server/options.go
+++ b/server/options.go
@@ -4,9 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/netip"
-
-	"github.com/pkg/errors"
 )
 
 // Option changes how a host is made.
@@ -26,24 +23,6 @@
 	}
 }
 
-// translate makes the host dial the translated address where the settings have one.
-func (s *Server) translate() {
-	if len(s.settings.Translation) == 0 || s.dial != nil {
-		return
-	}
-	var d net.Dialer
-	s.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		announced, err := netip.ParseAddrPort(addr)
-		if err != nil {
-			return nil, errors.Wrap(err, "dial")
-		}
-		if reachable, ok := s.settings.Translation[announced]; ok {
-			addr = reachable.String()
-		}
-		return d.DialContext(ctx, network, addr)
-	}
-}
-
 // dialHost connects to the rpc address of another host, with TLS if the settings name certificates.
 func (s *Server) dialHost(ctx context.Context, network, addr string) (net.Conn, error) {
 	if s.dial == nil {
--- a/server/server.go
+++ b/server/server.go
@@ -95,7 +95,9 @@
 	if s.certifier, err = certifier.New(settings.TLS); err != nil {
 		return nil, err
 	}
-	s.translate()
+	if s.dial == nil {
+		s.dial = settings.Dialer()
+	}
 	if err := s.listeners.open(settings.Listen); err != nil {
 		return nil, err
 	}
--- a/settler/direct.go
+++ b/settler/direct.go
@@ -62,7 +62,8 @@
 			"seeds", "found", "hostLosses", "hold", "drainTime", "outTime", "grace", "retryShare", "retrySlack",
 			"coldFactor", "coldSlack",
 		},
-		"keys": {"system", "systemFile"},
+		"keys":    {"system", "systemFile"},
+		"network": {"translation"},
 	}
 }
 
@@ -75,6 +76,7 @@
 	if _, ok := r.value("keys", "system"); ok || r.hasKeyFile() {
 		r.settings.Keys.System = r.secret("system")
 	}
+	r.translation()
 	entry, control := r.settings.Roles.Entry, r.settings.Roles.Control
 	if entry && control {
 		r.find("host", "roles", "a host with direct dispatch has one role, entry or control")
