Keep hosts quiet while there is no control leader

One part of the load on the control hosts (0.24 cores) in that time: 58 entry hosts each asked all five of them every 25 ms to be registered, and each waiting announcement looked 50 times a second whether the state was fresh.

Change: a host registers only once its state was known to be the newest, which has it already after a restart. A proposer that finds no leader waits longer after each round, 0.2 s at most. Announcements wait for a change of the state and look every 0.15 s.

Test: TestHostsWithoutALeaderAreAskedSeldom failed before (40 calls a second).

--- a/clerk/clerk.go
+++ b/clerk/clerk.go
@@ -23,9 +23,9 @@
 	// table has to be in force.
 	freshState = time.Second
 	// freshWait is how long an announcement waits for a fresh state: its sender turns to another host after a second.
-	// freshInterval is the time between two looks.
+	// freshInterval is the longest time between two looks; hundreds of announcements may wait.
 	freshWait     = 900 * time.Millisecond
-	freshInterval = 20 * time.Millisecond
+	freshInterval = 150 * time.Millisecond
 	// maxTable bounds the text of a table.
 	maxTable = 64 << 20
 )
@@ -36,6 +36,8 @@
 // State is the replicated state as this host knows it.
 type State interface {
 	State() *applier.State
+	// Changed returns a channel that is closed when there is a newer state.
+	Changed() <-chan struct{}
 	// Lag returns how long ago State is known to have had everything that was committed.
 	Lag() time.Duration
 }
@@ -82,14 +84,18 @@
 	defer cancel()
 	ticker := time.NewTicker(freshInterval)
 	defer ticker.Stop()
-	for c.State.Lag() > freshState {
+	for {
+		changed := c.State.Changed()
+		if c.State.Lag() <= freshState {
+			return nil
+		}
 		select {
+		case <-changed:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return errors.Wrap(ErrUncertain, "announcement of a target")
 		}
 	}
-	return nil
 }
 
 // nearer returns where a control host of the target's data centre takes announcements, if this is not one.
--- a/clerk/clerk_test.go
+++ b/clerk/clerk_test.go
@@ -35,6 +35,10 @@
 	return f.lag
 }
 
+func (f *fakeState) Changed() <-chan struct{} {
+	return nil
+}
+
 func (f *fakeState) set(st *applier.State, lag time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/director/director.go
+++ b/director/director.go
@@ -243,6 +243,16 @@
 func (d *Director) register() {
 	for {
 		changed := d.source.Changed()
+		if !d.fresh() {
+			// The state may have this host already; after a restart of all hosts their proposals would hold up the election.
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-changed:
+			case <-time.After(registerWait):
+			}
+			continue
+		}
 		record := d.record()
 		if have, ok := d.source.State().Hosts[record.Name]; !ok || have != record {
 			ctx, cancel := context.WithTimeout(d.ctx, registerTimeout)
@@ -270,6 +280,14 @@
 	}
 }
 
+// fresh reports whether the state of this host was the newest lately, or at some time since its start on an entry host.
+func (d *Director) fresh() bool {
+	if d.follower != nil {
+		return d.follower.Confirmed()
+	}
+	return d.control.controller.Lag() <= registerTimeout
+}
+
 func (d *Director) record() applier.Host {
 	h := applier.Host{
 		Name:        d.settings.Name,
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -17,8 +17,10 @@
 const (
 	// attemptTimeout bounds one attempt, so that a leader that lost its majority does not use up the caller's time.
 	attemptTimeout = 500 * time.Millisecond
-	// retryWait is the wait after all hosts were asked in vain.
-	retryWait = 25 * time.Millisecond
+	// retryWait is the wait after all hosts were asked in vain. It doubles up to maxRetryWait: while there is no leader,
+	// the questions of many hosts would keep the control hosts from electing one.
+	retryWait    = 25 * time.Millisecond
+	maxRetryWait = 200 * time.Millisecond
 )
 
 var (
@@ -48,7 +50,7 @@
 	}
 	maybe := false
 	reason := errors.New("no control host is known")
-	for ctx.Err() == nil {
+	for wait := retryWait; ctx.Err() == nil; wait = min(maxRetryWait, 2*wait) {
 		tried := make(map[string]bool)
 		for ctx.Err() == nil {
 			name, ok := p.next(tried)
@@ -64,7 +66,7 @@
 			reason = err
 		}
 		select {
-		case <-time.After(retryWait):
+		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -119,3 +119,20 @@
 	c.Assert(errors.Is(err, ErrMaybeApplied), qt.IsTrue, qt.Commentf("%v", err))
 	close(silent.hang)
 }
+
+// While there is no leader, a proposer must not keep the control hosts busy: 74 entry hosts that register at once would
+// hold up the election. Each host may be asked a few times a second.
+func TestHostsWithoutALeaderAreAskedSeldom(t *testing.T) {
+	c := qt.New(t)
+	h := &host{
+		answer: controller.ProposeReply{
+			NotLeader: true,
+		},
+	}
+	p := start(c, map[string]*host{
+		"h0": h,
+	})
+	_, err := propose(p, time.Second)
+	c.Assert(errors.Is(err, ErrNotApplied), qt.IsTrue)
+	c.Assert(h.calls.Load() <= 10, qt.IsTrue, qt.Commentf("%d calls in a second", h.calls.Load()))
+}
