--- a/director/control.go
+++ b/director/control.go
@@ -20,6 +20,10 @@
 )
 
 const (
+	// snapshotEvery is the number of log entries after which a snapshot replaces them. A host that starts applies the rest
+	// at once when there is a leader; with 300 targets 1,600 entries kept a host of 0.24 cores busy for longer than the
+	// election timeout.
+	snapshotEvery = 200
 	// joinWait is the pause between two looks at whether this host is a member of the control group.
 	joinWait = 250 * time.Millisecond
 	// joinTimeout bounds one request to be added.
@@ -63,6 +67,7 @@
 		controller.WithSeed(rand.Uint64()),
 		controller.WithLogger(d.log),
 		controller.WithTiming(timing),
+		controller.WithSnapshotEvery(snapshotEvery),
 	}
 	if name != founderName(s.Listen.RPC) {
 		options = append(options, controller.WithUniqueName())
