--- /dev/null
+++ b/forwarder/bed_test.go
@@ -0,0 +1,212 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/acceptor"
+	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/selector"
+	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/viewer"
+)
+
+// bed is a forwarder with targets on loopback addresses.
+type bed struct {
+	c       *qt.C
+	f       *Forwarder
+	builder viewer.Builder
+	table   *matcher.Table
+	state   applier.State
+
+	mu      sync.Mutex
+	view    *viewer.View
+	changed chan struct{}
+}
+
+func newBed(c *qt.C) *bed {
+	b := bed{
+		c:       c,
+		changed: make(chan struct{}),
+	}
+	split := func(service string) []matcher.Part {
+		return []matcher.Part{{
+			Service: service,
+			Weight:  1,
+		}}
+	}
+	b.table = matcher.New(1, []matcher.Route{
+		{
+			Name:        "lookup",
+			Host:        "shop.example",
+			Prefix:      "/lookup/",
+			Repeatable:  true,
+			Timeout:     time.Second,
+			Objective:   500 * time.Millisecond,
+			MaxAttempts: 2,
+			Split:       split("desk"),
+		},
+		{
+			Name:        "order",
+			Host:        "shop.example",
+			Prefix:      "/order/",
+			Timeout:     time.Second,
+			Objective:   500 * time.Millisecond,
+			MaxAttempts: 2,
+			Split:       split("desk"),
+		},
+		{
+			Name:      "tally",
+			Host:      "shop.example",
+			Prefix:    "/tally/",
+			Timeout:   time.Second,
+			Objective: 500 * time.Millisecond,
+			Split:     split("tally"),
+		},
+	}, map[string]matcher.Service{
+		"desk": {
+			Name:        "desk",
+			Connections: 100,
+			ColdRate:    10,
+		},
+		"tally": {
+			Name:        "tally",
+			Connections: 100,
+			Keyed:       true,
+		},
+	}, matcher.Limits{})
+	b.builder.Decode = func(registrar.Document) (*matcher.Table, error) { return b.table, nil }
+	b.f = New(Options{
+		View:     b.current,
+		Codec:    testCodec{},
+		Sender:   sender.New(nil),
+		Selector: &selector.Selector{},
+		Log:      log.New(io.Discard),
+		Limits: Limits{
+			RetryShare: 0.2,
+			RetrySlack: 50,
+			ColdFactor: 1,
+			DrainTime:  100 * time.Millisecond,
+			OutTime:    100 * time.Millisecond,
+		},
+	})
+	return &b
+}
+
+func (b *bed) current() (*viewer.View, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.view, b.changed
+}
+
+// commit applies a change and publishes the view.
+func (b *bed) commit(changes ...registrar.Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range changes {
+		b.state.Index++
+		b.state.Registry = b.state.Registry.Apply(b.state.Index, c)
+	}
+	v, err := b.builder.Build(&b.state, time.Now())
+	b.c.Assert(err, qt.IsNil)
+	b.view = v
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+func (b *bed) putTable() {
+	b.commit(registrar.Change{
+		PutTable: &registrar.PutTableMsg{
+			Version: 1,
+		},
+	})
+}
+
+// target starts a target that answers with h and echoes the identity of requests.
+func (b *bed) target(id, service string, h http.HandlerFunc) registrar.Target {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testRequest, r.Header.Get(testRequest))
+		h(w, r)
+	}))
+	b.c.Cleanup(s.Close)
+	return b.announce(id, service, netip.MustParseAddrPort(s.Listener.Addr().String()))
+}
+
+func (b *bed) announce(id, service string, addr netip.AddrPort) registrar.Target {
+	t := registrar.Target{
+		Life: registrar.Life{
+			ID: id,
+		},
+		Service: service,
+		Addr:    addr,
+		Slots:   4,
+	}
+	b.commit(registrar.Change{
+		Announce: &t,
+	})
+	return t
+}
+
+func (b *bed) own(service, id string) {
+	b.commit(registrar.Change{
+		Grant: &registrar.GrantMsg{
+			Service: service,
+			Grants: []registrar.Grant{{
+				From: 0,
+				To:   65535,
+				Owner: registrar.Life{
+					ID: id,
+				},
+			}},
+		},
+	})
+}
+
+func (b *bed) send(ctx context.Context, method, path string, header ...string) *acceptor.Answer {
+	h := http.Header{
+		testRequest: {"r1"},
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		h.Set(header[i], header[i+1])
+	}
+	return b.f.Handle(ctx, &acceptor.Request{
+		Method:  method,
+		URI:     path,
+		Path:    path,
+		Host:    "shop.example",
+		Header:  h,
+		Body:    []byte("one board"),
+		Arrived: time.Now(),
+	})
+}
+
+func ok(n *atomic.Int32, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+// hangUp reads the request and ends the connection without an answer.
+func hangUp(n *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/imitator/imitator_test.go
@@ -0,0 +1,76 @@
+package imitator
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/lessor"
+	"bramleyline.example/bramleyline/platform"
+	"bramleyline.example/bramleyline/registrar"
+)
+
+// Guards against a stand-in that is kinder than the targets it stands for: it runs requests only for keys that it holds
+// and only if they name it, takes no grant under a lower fence, and gives a handover with a release.
+func TestTargetHoldsToItsGrants(t *testing.T) {
+	c := qt.New(t)
+	var addr netip.AddrPort
+	m := New(Options{
+		ID:         "i-1",
+		Service:    "tally",
+		DataCentre: "a",
+		Keyed:      true,
+		Controls:   []string{"http://127.0.0.1:1"},
+		Advertise: func(listen netip.AddrPort) (netip.AddrPort, error) {
+			addr = listen
+			return listen, nil
+		},
+	})
+	c.Assert(m.Start(), qt.IsNil)
+	defer m.Close()
+	targets := platform.NewTargets()
+	defer targets.Close()
+	order := func(fence uint64, grant bool) lessor.AnsweredMsg {
+		call := lessor.CallMsg{
+			Life: registrar.Life{
+				ID: "i-1",
+			},
+			Addr: addr,
+			Span: registrar.Span{
+				From: 10,
+				To:   20,
+			},
+			Fence: fence,
+		}
+		if grant {
+			call.Grant = &lessor.GrantCall{
+				Hold: time.Minute,
+			}
+		}
+		return targets.Call(context.Background(), call)
+	}
+	ask := func(id string, key uint16) int {
+		req, err := http.NewRequest(http.MethodPost, "http://"+addr.String()+"/x", nil)
+		c.Assert(err, qt.IsNil)
+		req.Header = platform.Counterpart{}.Call(id, key, time.Second)
+		resp, err := http.DefaultClient.Do(req)
+		c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	c.Assert(ask("r1", 15), qt.Equals, http.StatusMisdirectedRequest)
+	c.Assert(order(7, true).OK, qt.IsTrue)
+	c.Assert(m.Holding(), qt.Equals, 11)
+	c.Assert(ask("r2", 15), qt.Equals, http.StatusOK)
+	c.Assert(ask("r3", 21), qt.Equals, http.StatusMisdirectedRequest)
+	c.Assert(order(6, true).Fenced, qt.IsTrue)
+	c.Assert(order(7, false).Handover, qt.Not(qt.Equals), "")
+	c.Assert(ask("r4", 15), qt.Equals, http.StatusMisdirectedRequest)
+	c.Assert(m.Runs(), qt.DeepEquals, map[string]int{
+		"r2": 1,
+	})
+}
--- a/lessor/message.go
+++ b/lessor/message.go
@@ -7,7 +7,7 @@
 	"bramleyline.example/bramleyline/registrar"
 )
 
-// CallMsg asks for a call at a target. Exactly one of Grant and Release is set.
+// CallMsg asks for a call at a target: a grant, or a release if Grant is nil.
 type CallMsg struct {
 	Life    registrar.Life
 	Addr    netip.AddrPort
@@ -15,12 +15,14 @@
 	Span    registrar.Span
 	Fence   uint64
 	Grant   *GrantCall
-	Release bool
 	// SameConnection says that the call may go only over a connection that is open already: a new one may lead to
 	// another life of the target, which must not get a fence that the life before it had.
 	SameConnection bool
 }
 
+// IsRelease reports whether the call releases keys.
+func (c CallMsg) IsRelease() bool { return c.Grant == nil }
+
 // GrantCall grants or renews a span of keys.
 type GrantCall struct {
 	Hold     time.Duration
--- a/lessor/service.go
+++ b/lessor/service.go
@@ -201,7 +201,6 @@
 		Span:    key.span,
 		Fence:   key.fence,
 		Grant:   grant,
-		Release: grant == nil,
 		// A fence is sent over a new connection only once.
 		SameConnection: grant != nil && h.used[key.fence],
 	})
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -168,7 +168,7 @@
 		case m := <-s.answers:
 			s.answered(m)
 			// A grant that was taken leaves nothing to decide, and there are hundreds of renewals a second.
-			if !m.msg.OK || m.msg.Call.Release {
+			if !m.msg.OK || m.msg.Call.IsRelease() {
 				return true
 			}
 		case <-s.proposed:
@@ -201,7 +201,7 @@
 	if !m.OK {
 		counters.Add("failedCalls", 1)
 		s.opts.Log.Warn("call at target failed", "target", m.Call.Life.ID, "service", m.Call.Service, "from", m.Call.Span.From,
-			"to", m.Call.Span.To, "fence", m.Call.Fence, "release", m.Call.Release, "sent", !m.NotSent, "answered", m.Answered,
+			"to", m.Call.Span.To, "fence", m.Call.Fence, "release", m.Call.IsRelease(), "sent", !m.NotSent, "answered", m.Answered,
 			"err", m.Err)
 	}
 	if s.lessor != nil && s.lessor == a.lessor {
@@ -298,7 +298,7 @@
 // call makes one call at a target, if this host still leads.
 func (s *Overseer) call(l *lessor.Lessor, c lessor.CallMsg) {
 	timeout := grantTimeout
-	if c.Release {
+	if c.IsRelease() {
 		timeout = releaseTimeout
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
