Take the paths of operators' calls from the platform's package

Cause: the soak named the paths for tables and takeouts itself, outside platform/.

Change: platform.Counterpart has them.

--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if err := o.order(ctx, http.MethodPut, "/config", text); err != nil {
+	if err := o.order(ctx, http.MethodPut, platform.Counterpart{}.TablePath(), text); err != nil {
 		return err
 	}
 	o.mu.Lock()
@@ -126,7 +126,7 @@
 	o.mu.Lock()
 	acked, due := o.acked, time.Since(o.ackedAt) > inForce
 	o.mu.Unlock()
-	status, text := o.call(ctx, http.MethodGet, base+"/config", nil)
+	status, text := o.call(ctx, http.MethodGet, base+platform.Counterpart{}.TablePath(), nil)
 	if status != http.StatusOK {
 		return false
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"bramleyline.example/bramleyline/imitator"
 	"bramleyline.example/bramleyline/injector"
+	"bramleyline.example/bramleyline/platform"
 )
 
 const (
@@ -363,9 +365,10 @@
 	case kindTable:
 		err = s.operator.putTable(orderCtx)
 	case kindTakeout:
-		if err = s.operator.order(orderCtx, "POST", "/evacuation/"+st.subject, nil); err == nil {
+		path := platform.Counterpart{}.TakeoutPath(st.subject)
+		if err = s.operator.order(orderCtx, http.MethodPost, path, nil); err == nil {
 			time.Sleep(st.lasts)
-			err = s.operator.order(orderCtx, "DELETE", "/evacuation/"+st.subject, nil)
+			err = s.operator.order(orderCtx, http.MethodDelete, path, nil)
 		}
 	case kindDrain:
 		t := s.target(st.subject)
