Log the new fences of a leader, and name the age at which a host registers

Cause: found by reading the change: since fences are raised by one command, no line told of it, and the age of the state in Director.fresh had the name of another limit.

Change: one line for each service; the constant registerLag with the same value.

--- a/director/director.go
+++ b/director/director.go
@@ -37,6 +37,9 @@
 	registerWait = 300 * time.Millisecond
 	// registerTimeout bounds one attempt.
 	registerTimeout = 2 * time.Second
+	// registerLag is the greatest age of a control host's state at which it knows whether it is registered: some election
+	// timeouts, so that a short time without a leader does not count.
+	registerLag = 2 * time.Second
 	// closeTime is kept for closing the parts at the end of the grace time.
 	closeTime = 300 * time.Millisecond
 	// logCloseTime bounds the writing of the last log lines.
@@ -285,7 +288,7 @@
 	if d.follower != nil {
 		return d.follower.Confirmed()
 	}
-	return d.control.controller.Lag() <= registerTimeout
+	return d.control.controller.Lag() <= registerLag
 }
 
 func (d *Director) record() applier.Host {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -344,6 +344,8 @@
 			s.opts.Log.Info("new owner", "service", c.Grant.Service, "from", g.From, "to", g.To, "target", g.Owner.ID,
 				"handover", g.Handover != "")
 		}
+	case c.Refence != nil:
+		s.opts.Log.Info("new fences", "service", c.Refence.Service, "index", s.opts.Controller.State().Index)
 	case c.Release != nil:
 		for _, p := range c.Release.Spans {
 			s.opts.Log.Info("release", "service", c.Release.Service, "from", p.From, "to", p.To)
