Keep processes from starting while a test looks for a free port

TestProofHostKilled: a target could not bind an address that freeAddr had just found free. Other deployments start processes at the same time, and a child holds a copy of the listener between fork and exec. TestDirectSettingsWithFaults: the finding names the known sections, and direct dispatch knows [network] since address translation serves it.

Change: freeAddr holds the lock; the expected finding names [network] too, as strictly as before.

--- a/process_test.go
+++ b/process_test.go
@@ -160,7 +160,11 @@
 	return netip.AddrFrom4([4]byte{127, byte(1 + pid/250%250), byte(1 + pid%250), 1})
 }
 
+// freeAddr returns an address that nobody listens on. No process may be started meanwhile: until it has run its program
+// it holds the listener that is closed here, and the address would be in use for a moment longer.
 func freeAddr(c *qt.C) netip.AddrPort {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	nextPort.CompareAndSwap(0, 20000)
 	for range 1000 {
 		addr := netip.AddrPortFrom(loopback(), uint16(nextPort.Add(1)))
--- a/settler/direct_test.go
+++ b/settler/direct_test.go
@@ -72,7 +72,7 @@
 		{"roles = entry", "roles = control"}:            "1: role control needs dataFolder, which holds the log",
 		{"roles = entry", "roles = entry, control"}:     "4: a host with direct dispatch has one role, entry or control",
 		{"hostLosses = 1", "losses = 1"}:                "19: unknown setting losses in section [direct], known are " + strings.Join(knownDirect()["direct"], ", "),
-		{"[direct]", "[other]"}:                         "16: unknown section [other], known are [host], [listen], [direct] and [keys]",
+		{"[direct]", "[other]"}:                         "16: unknown section [other], known are [host], [listen], [direct], [keys] and [network]",
 	} {
 		text := strings.Replace(directText, change[0], change[1], 1)
 		c.Assert(text, qt.Not(qt.Equals), directText)
