Ask all entry hosts side by side at the end of a soak run

Cause: the check that each entry host serves each key asked one host after the other, 0.3 s each, so with more than 40 of them it would take longer than the 15 s that it allows.

Change: the hosts are asked side by side; keys and bound are the same for each host.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bramleyline.example/bramleyline/platform"
 )
 
@@ -61,6 +63,20 @@
 	}
 }
 
+// servedBy waits until entry serves each of some keys.
+func (c *caller) servedBy(ctx context.Context, entry string) error {
+	defer c.client.CloseIdleConnections()
+	for key := 0; key < 1<<16; key += 4099 {
+		for c.send(ctx, entry, uint16(key)) != http.StatusOK {
+			if ctx.Err() != nil {
+				return errors.Wrapf(ErrBroken, "key %d is not served at %s in time", key, entry)
+			}
+			time.Sleep(minGap / 4)
+		}
+	}
+	return nil
+}
+
 // send makes one request and returns its status, zero if there was no answer.
 func (c *caller) send(ctx context.Context, entry string, key uint16) int {
 	c.n++
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -142,22 +142,21 @@
 	return errors.Wrap(s.served(startCtx, "begin"), "start")
 }
 
-// served waits until each entry host serves each of some keys.
+// served waits until each entry host serves each of some keys. The hosts are asked side by side.
 func (s *Soaker) served(ctx context.Context, name string) error {
-	c := newCaller(0, s.opts.Seed, s.fleet.entries, &s.ledger)
-	c.name = name
-	defer c.client.CloseIdleConnections()
-	for _, entry := range s.fleet.entries {
-		for key := 0; key < 1<<16; key += 4099 {
-			for c.send(ctx, entry, uint16(key)) != 200 {
-				if ctx.Err() != nil {
-					return errors.Wrapf(ErrBroken, "key %d is not served at %s in time", key, entry)
-				}
-				time.Sleep(minGap / 4)
-			}
+	results := make(chan error, len(s.fleet.entries))
+	for i, entry := range s.fleet.entries {
+		c := newCaller(i, s.opts.Seed, s.fleet.entries, &s.ledger)
+		c.name = fmt.Sprintf("%s%d", name, i)
+		go func() { results <- c.servedBy(ctx, entry) }()
+	}
+	var failed error
+	for range s.fleet.entries {
+		if err := <-results; err != nil {
+			failed = err
 		}
 	}
-	return nil
+	return failed
 }
 
 // startTarget runs the next life of target i. Its connections go through a link.
