Log and count the limits that targets state

Cause being looked for: targets got three times the limit that they had stated.

Change: the codec of the platform reads the limit into forwarder.Reply, and limiter.Limiter records it: one log line for each change (at most one a second and target), counters for answers with a limit, attempts at targets with one, and limits that cannot be read. No request is treated differently: Limiter decides nothing yet.

An absent, negative, infinite, malformed or empty limit is not taken for one; of several in one answer the lowest counts. A 421 may come from another target and is left out. What a target stated is dropped a minute after its last answer.

Before: no line.

--- a/director/entry.go
+++ b/director/entry.go
@@ -14,6 +14,7 @@
 	"bramleyline.example/bramleyline/cacher"
 	"bramleyline.example/bramleyline/coordinator"
 	"bramleyline.example/bramleyline/forwarder"
+	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/puller"
 	"bramleyline.example/bramleyline/quarantiner"
@@ -60,6 +61,7 @@
 	builder  viewer.Builder
 	sender   *sender.Sender
 	selector *selector.Selector
+	limiter  *limiter.Limiter
 	acceptor *acceptor.Acceptor
 	ready    *http.Server
 
@@ -93,6 +95,9 @@
 		selector: &selector.Selector{
 			DataCentre: s.DataCentre,
 		},
+		limiter: &limiter.Limiter{
+			Log: d.log,
+		},
 		changed: make(chan struct{}),
 	}
 	rec := &recorder.Recorder{}
@@ -103,6 +108,7 @@
 			Codec:       d.protocol.Codec,
 			Sender:      e.sender,
 			Selector:    e.selector,
+			Limiter:     e.limiter,
 			Recorder:    rec,
 			Log:         d.log,
 			ViewAge:     e.stateAge,
@@ -183,6 +189,7 @@
 		case <-trim.C:
 			e.sender.Trim(time.Now())
 			e.selector.Forget(time.Now().Add(-forgetAfter))
+			e.limiter.Forget(timekeeper.Now().Add(-forgetAfter))
 		}
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/timekeeper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -26,6 +27,7 @@
 	res := selector.Result{
 		Work: serviceTime.expected(),
 	}
+	x.f.opts.Limiter.Attempt(t.Incarnation)
 	idle := sel.Estimate(start, t, res.Work).Wait == 0
 	sel.Begin(start, t.Incarnation)
 	defer func() { sel.End(time.Now(), t.Incarnation, res) }()
@@ -46,6 +48,7 @@
 		x.recordFailure(t, sender.ReasonCrossed, "answer has no identity")
 		return nil, x.route.Repeatable
 	}
+	x.observeLimit(t, reply)
 	if reply.NotRun {
 		res.Failed = !reply.Misdirected
 		return nil, x.rejected(ctx, t, reply)
@@ -76,6 +79,17 @@
 	}, false
 }
 
+// observeLimit records the limit that an answer of t stated. A misdirected answer may come from another target.
+func (x *exchange) observeLimit(t *viewer.Target, r Reply) {
+	switch {
+	case r.Misdirected:
+	case r.LimitUnreadable:
+		x.f.opts.Limiter.Unreadable()
+	default:
+		x.f.opts.Limiter.Observe(timekeeper.Now(), t.Incarnation, x.service.Name, r.Limit)
+	}
+}
+
 // normalizedTime returns the time that a request would have taken at a target of usual slowness: took divided by the
 // slowness that the target reported, or took itself if it reported none.
 func normalizedTime(took time.Duration, load *selector.Load) time.Duration {
--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -28,6 +28,10 @@
 	Misdirected bool
 	// Load is the reported load of the target, nil if the answer has none.
 	Load *selector.Load
+	// Limit is the number of requests per second that the target takes from all hosts together, nil if the answer states
+	// none. LimitUnreadable is true if it states one that cannot be read.
+	Limit           *float64
+	LimitUnreadable bool
 }
 
 // Codec translates between the headers of a protocol and the values that the router uses.
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
@@ -92,7 +93,10 @@
 		Codec:    testCodec{},
 		Sender:   sender.New(nil),
 		Selector: &selector.Selector{},
-		Log:      log.New(io.Discard),
+		Limiter: &limiter.Limiter{
+			Log: log.New(io.Discard),
+		},
+		Log: log.New(io.Discard),
 		Limits: Limits{
 			RetryShare: 0.2,
 			RetrySlack: 50,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"bramleyline.example/bramleyline/acceptor"
+	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
@@ -32,7 +33,7 @@
 // service time.
 const serviceTimeSmoothing = 0.05
 
-// Options are the dependencies and limits of a Forwarder. View, Codec, Sender, Selector and Log are required.
+// Options are the dependencies and limits of a Forwarder. View, Codec, Sender, Selector, Limiter and Log are required.
 type Options struct {
 	// View returns the newest view of this host and a channel that is closed when there is a newer one.
 	View func() (*viewer.View, <-chan struct{})
@@ -40,6 +41,8 @@
 	Codec    Codec
 	Sender   *sender.Sender
 	Selector *selector.Selector
+	// Limiter knows the limits that targets state.
+	Limiter  *limiter.Limiter
 	Recorder *recorder.Recorder
 	Log      *log.Logger
 	// ViewAge returns the age of the view: the time since a control host last confirmed it. It may be nil.
