--- a/platformemulator/platformemulator.go
+++ b/platformemulator/platformemulator.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,17 @@
 	At time.Time
 }
 
+// ArrivalMsg reports that a request arrived at a target.
+type ArrivalMsg struct {
+	// Target is the ID of the target.
+	Target string
+	At     time.Time
+	// Limit is the limit that the target states, in requests per second, and LimitSince the time since which it states
+	// any. LimitSince is zero if it states none.
+	Limit      float64
+	LimitSince time.Time
+}
+
 // Options configure an Emulator. ID, Service, DataCentre and Controls are required.
 type Options struct {
 	ID         string
@@ -58,6 +70,8 @@
 	Controls []string
 	// Work is the service time of each request.
 	Work time.Duration
+	// OnArrival is called for each request that arrives, whether the target runs it or not; it may be nil.
+	OnArrival func(ArrivalMsg)
 	// OnRun is called for each run at the moment at which the target decides to run the request; it may be nil. The
 	// runs of one target are reported in order.
 	OnRun func(RunMsg)
@@ -84,6 +98,9 @@
 	running   int
 	held      []heldSpan
 	runCounts map[string]int
+	// limit is the limit that answers state, empty for none, and limitSince the time since which they state any.
+	limit      string
+	limitSince time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -262,6 +279,7 @@
 		e.handleCall(w, call)
 		return
 	}
+	e.arrive(w)
 	if !e.admit(req) {
 		e.reject(w, req.ID)
 		return
@@ -282,6 +300,40 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", e.opts.ID, r.URL.Path, body)
 }
 
+// SetLimit sets the limit that the answers state from now on, as the text of the header; empty for none.
+func (e *Emulator) SetLimit(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case text == "":
+		e.limitSince = time.Time{}
+	case e.limit == "":
+		e.limitSince = time.Now()
+	}
+	e.limit = text
+}
+
+// arrive reports the arrival of a request and states the limit in its answer.
+func (e *Emulator) arrive(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit != "" {
+		platform.Counterpart{}.Limit(w.Header(), e.limit)
+	}
+	if e.opts.OnArrival == nil {
+		return
+	}
+	m := ArrivalMsg{
+		Target: e.opts.ID,
+		At:     time.Now(),
+	}
+	// A text that is not a number limits nothing.
+	if n, err := strconv.ParseFloat(e.limit, 64); err == nil {
+		m.Limit, m.LimitSince = n, e.limitSince
+	}
+	e.opts.OnArrival(m)
+}
+
 // SetEndlessBodies switches whether the target sends bodies without end instead of its usual answers.
 func (e *Emulator) SetEndlessBodies(on bool) {
 	e.endlessBodies.Store(on)
--- a/soaker/invariants.go
+++ b/soaker/invariants.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyline.example/bramleyline/platformemulator"
+	"bramleyline.example/bramleyline/rateauditor"
 )
 
 // AnswerMsg is the answer to one request of a caller.
@@ -30,6 +31,8 @@
 	lastRuns map[uint16]platformemulator.RunMsg
 	// drainedAt is when the drain of each target was acknowledged, by target ID.
 	drainedAt map[string]time.Time
+	// rateAuditors check the arrivals at each target, by target ID.
+	rateAuditors map[string]*rateauditor.Auditor
 	// inContactSince is the time since which all hosts have been in contact with each other. It may be in the future,
 	// and is zero while a host may be out of contact.
 	inContactSince time.Time
@@ -78,6 +81,30 @@
 	}
 }
 
+// recordArrival records the arrival of a request at a target. The limit that the target states binds once all hosts are in
+// contact and had time to hear of it.
+func (c *invariantChecker) recordArrival(m platformemulator.ArrivalMsg) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, ok := c.rateAuditors[m.Target]
+	if !ok {
+		if c.rateAuditors == nil {
+			c.rateAuditors = make(map[string]*rateauditor.Auditor)
+		}
+		a = &rateauditor.Auditor{}
+		c.rateAuditors[m.Target] = a
+	}
+	since := m.LimitSince.Add(contactDelay)
+	if c.inContactSince.IsZero() {
+		since = m.At.Add(1)
+	} else if since.Before(c.inContactSince) {
+		since = c.inContactSince
+	}
+	if v := a.Add(m, since); v != "" {
+		c.addViolation("%s", v)
+	}
+}
+
 // recordAnswer records the answer to a request.
 func (c *invariantChecker) recordAnswer(a AnswerMsg) {
 	c.mu.Lock()
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -29,6 +29,7 @@
 	kindCrash   = "crash"         // a target crashes and is replaced by its next incarnation
 	kindBabble  = "babble"        // the bodies of a target have no end
 	kindReload  = "reload"        // a host gets SIGHUP
+	kindLimit   = "limit"         // a target states limits in its answers
 )
 
 const (
@@ -43,8 +44,14 @@
 	minWipeGap = 8 * time.Second
 	// controlHosts is the number of control hosts, one in each data centre.
 	controlHosts = 4
-	// meanExtraGap is the mean time between the steps that extraSteps draws.
+	// meanExtraGap is the mean time between the steps that extraSteps draws, and meanLimitGap the same for limitSteps.
 	meanExtraGap = 4 * time.Second
+	meanLimitGap = 5 * time.Second
+	// minLimitTime is the least time for which a target states a limit: longer than the contact time and the window of the
+	// rule together. It may be longer by maxRandomDuration.
+	minLimitTime = 7500 * time.Millisecond
+	// limitChanges is the number of limits that a target states one after the other.
+	limitChanges = 2
 )
 
 // step is one fault or change. It begins at offset from the start of the plan and ends by itself after duration.
@@ -54,10 +61,16 @@
 	// subject is the name of the host, target or data centre, empty for a step that concerns the whole system.
 	subject  string
 	duration time.Duration
+	// limits are the texts of the limits that a target states one after the other in a limit step.
+	limits []string
 }
 
 func (s step) String() string {
-	return fmt.Sprintf("%6.2fs %-13s %-4s for %s", s.offset.Seconds(), s.kind, s.subject, s.duration.Round(10*time.Millisecond))
+	text := fmt.Sprintf("%6.2fs %-13s %-4s for %s", s.offset.Seconds(), s.kind, s.subject, s.duration.Round(10*time.Millisecond))
+	if len(s.limits) > 0 {
+		text += fmt.Sprintf(" %q", s.limits)
+	}
+	return text
 }
 
 // plan is the steps of a run, ordered by offset. Steps overlap.
@@ -118,6 +131,7 @@
 		p = append(p, s)
 	}
 	p = append(p, extraSteps(seed, length, entries, targets)...)
+	p = append(p, limitSteps(seed, length, targets)...)
 	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.offset, b.offset) })
 	return p
 }
@@ -141,3 +155,29 @@
 	}
 	return p
 }
+
+// absurdLimits are texts that state no limit, or one that cannot be reached.
+var absurdLimits = []string{"-1", "NaN", "1e300", "6.3.1", "much", "Inf", "6.5, x"}
+
+// limitSteps draws the steps in which targets state limits, with a random source of its own. One in five limits is absurd.
+func limitSteps(seed uint64, length time.Duration, targets int) plan {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	var p plan
+	for offset := maxStepGap; offset < length; offset += time.Duration(rng.Int64N(int64(2 * meanLimitGap))) {
+		s := step{
+			offset:   offset,
+			kind:     kindLimit,
+			subject:  targetName(rng.IntN(targets)),
+			duration: minLimitTime + time.Duration(rng.Int64N(int64(maxRandomDuration))),
+		}
+		for range limitChanges {
+			text := fmt.Sprintf("%.1f", rng.Float64()*12)
+			if rng.IntN(5) == 0 {
+				text = absurdLimits[rng.IntN(len(absurdLimits))]
+			}
+			s.limits = append(s.limits, text)
+		}
+		p = append(p, s)
+	}
+	return p
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -180,6 +180,7 @@
 		Advertise: func(listen netip.AddrPort) (netip.AddrPort, error) {
 			return s.fleet.network.Open("hosts", name, anyPort(), listen)
 		},
+		OnArrival: s.checker.recordArrival,
 		OnRun:     func(m platformemulator.RunMsg) { s.checker.recordRun(m, drainTime) },
 		OnDrained: s.checker.recordDrain,
 	})
@@ -237,7 +238,7 @@
 // runStep runs one step from its beginning to its end.
 func (s *Soaker) runStep(ctx context.Context, st step) {
 	switch st.kind {
-	case kindTable, kindTakeout, kindDrain, kindCrash, kindBabble:
+	case kindTable, kindTakeout, kindDrain, kindCrash, kindBabble, kindLimit:
 		s.runChange(ctx, st)
 		return
 	}
@@ -398,6 +399,8 @@
 		t.SetEndlessBodies(true)
 		time.Sleep(st.duration)
 		t.SetEndlessBodies(false)
+	case kindLimit:
+		s.stateLimits(st)
 	case kindCrash:
 		err = s.restartTarget(st.subject, s.target(st.subject))
 	}
@@ -406,6 +409,16 @@
 	}
 }
 
+// stateLimits makes a target state the limits of the step one after the other. Its next incarnation states none.
+func (s *Soaker) stateLimits(st step) {
+	t := s.target(st.subject)
+	for _, text := range st.limits {
+		t.SetLimit(text)
+		time.Sleep(st.duration / time.Duration(len(st.limits)))
+	}
+	t.SetLimit("")
+}
+
 // restartTarget ends an incarnation of a target by a crash and starts the next one.
 func (s *Soaker) restartTarget(name string, t *platformemulator.Emulator) error {
 	t.Close()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -80,6 +80,17 @@
 				Whole:  true,
 			})
 		},
+		"states a limit of 6": func(checker *invariantChecker) {
+			checker.setInContactSince(now)
+			for i := range 42 {
+				checker.recordArrival(platformemulator.ArrivalMsg{
+					Target:     "a",
+					At:         now.Add(2*contactDelay + time.Duration(i)*time.Millisecond),
+					Limit:      6,
+					LimitSince: now,
+				})
+			}
+		},
 		"after the drain": func(checker *invariantChecker) {
 			checker.setInContactSince(now)
 			checker.recordDrain("a", now.Add(time.Second))
