Move keys away from a target that states a limit

Cause: the planner knows slots and slowness of a target only, so a target with a limit kept all its keys, and its other requests had no other owner.

Change: planner.Target.MaxLoad bounds the load of a target, in busy slots: 0.7 of its limit at the mean service time of the service. Its part of the load is lowered to that, the others share the rest by capacity, and what is above it moves away even if no target is busy. One standard deviation of the measured load is the hysteresis. A limit of zero keeps the trickle that tells of its end. When a limit ends, keys return only as load calls for it.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -137,6 +137,14 @@
 	return e.serviceTime.Seconds() / e.requests / (2 * timeConstant.Seconds())
 }
 
+// MeanServiceTime returns the mean expected service time of all requests, zero before the first one.
+func (e *Estimator) MeanServiceTime() time.Duration {
+	if e.requests == 0 {
+		return 0
+	}
+	return time.Duration(float64(e.serviceTime) / e.requests)
+}
+
 // CumulativeLoad returns the cumulative load of the keys in busy slots: the load of keys a to b is
 // CumulativeLoad[b+1]-CumulativeLoad[a].
 func (e *Estimator) CumulativeLoad(now time.Time) []float64 {
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramleyline.example/bramleyline/estimator"
+	"bramleyline.example/bramleyline/issuer"
 	"bramleyline.example/bramleyline/leaser"
 	"bramleyline.example/bramleyline/planner"
 	"bramleyline.example/bramleyline/registrar"
@@ -66,7 +67,10 @@
 	// minScanInterval and maxScanInterval are the least and the greatest time between two scans of all ranges of a
 	// service. A scan takes 1 ms at 3,200 ranges.
 	minScanInterval = 15 * time.Millisecond
-	maxScanInterval = 100 * time.Millisecond
+	// limitUtilization is the share of its limit that a target with one gets in keys. The rest is for requests that arrive
+	// close to each other: most of them would have to be refused without it.
+	limitUtilization = 0.7
+	maxScanInterval  = 100 * time.Millisecond
 )
 
 // Settings configure a Lessor.
@@ -369,6 +373,7 @@
 		all = append(all, planner.Target{
 			Incarnation: t.Incarnation,
 			Capacity:    float64(max(1, t.Slots)) / slowness,
+			MaxLoad:     maxLoad(t, e),
 			NoNewKeys:   closed,
 		})
 	}
@@ -379,6 +384,14 @@
 	return all
 }
 
+// maxLoad returns the load that a target with a limit may get, zero for a target without one.
+func maxLoad(t *registrar.Target, e *estimator.Estimator) float64 {
+	if t.Limit == nil || e == nil {
+		return 0
+	}
+	return limitUtilization * max(issuer.MinRate, *t.Limit) * e.MeanServiceTime().Seconds()
+}
+
 // openColdTargets lets cold targets own keys where no warm target can. It does not overload them, because entry hosts
 // bound the requests that they send to a cold target.
 func (l *Lessor) openColdTargets(all []planner.Target) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -31,6 +31,13 @@
 	minCapacityGain = 1.15
 	// maxMoveFraction bounds the load of a move or an assignment, as a fraction of the wanted load.
 	maxMoveFraction = 1.3
+	// minCapacity is the least capacity of a target with a MaxLoad, so that its utilization stays finite.
+	minCapacity = 1e-6
+	// overloadDeviations is what noiseDeviations is, for the load of a target with a MaxLoad.
+	overloadDeviations = 1
+	// minOverloadMove is the least load, as a fraction of the capacity of the destination, that is moved away from a target
+	// above its MaxLoad at once, however busy the other targets are.
+	minOverloadMove = 0.05
 )
 
 // Target is a target that can own keys.
@@ -38,6 +45,9 @@
 	Incarnation registrar.Incarnation
 	// Capacity is the number of request slots divided by the target's slowness.
 	Capacity float64
+	// MaxLoad is the greatest load that the target may get, in busy slots; zero means that only Capacity bounds it. What it
+	// has above that is moved away even if no target is busy.
+	MaxLoad float64
 	// NoNewKeys says that keys may be moved away from the target but none are assigned or moved to it.
 	NoNewKeys bool
 }
@@ -116,7 +126,44 @@
 			st.spans = append(st.spans, s)
 		}
 	}
-	return all, total, capacity
+	return all, total, boundCapacity(all, total, capacity)
+}
+
+// boundCapacity lowers the capacity of each target whose part of the total load would be above its MaxLoad, so that its
+// part becomes just that, and returns the capacity of all targets that may get keys. What a target does not get raises the
+// parts of the others, which may put another one above its MaxLoad.
+func boundCapacity(all []*targetState, total, capacity float64) float64 {
+	bounded := make(map[*targetState]bool)
+	free, load := capacity, total
+	for changed := true; changed && free > 0 && load > 0; {
+		changed = false
+		for _, st := range all {
+			if st.MaxLoad > 0 && !st.NoNewKeys && !bounded[st] && st.Capacity*load/free > st.MaxLoad {
+				bounded[st], changed = true, true
+				free -= st.Capacity
+				load -= st.MaxLoad
+			}
+		}
+	}
+	if free <= 0 || load <= 0 {
+		// All targets together may not get the load, so each gets in proportion to what it may.
+		free, load = 1, 1
+	}
+	capacity = 0
+	for _, st := range all {
+		if bounded[st] {
+			st.Capacity = max(minCapacity, st.MaxLoad*free/load)
+		}
+		if !st.NoNewKeys {
+			capacity += st.Capacity
+		}
+	}
+	return capacity
+}
+
+// overloaded reports whether a target has more than its MaxLoad, unless its measured load is too high by chance.
+func (p *Planner) overloaded(st *targetState) bool {
+	return st.MaxLoad > 0 && st.load-overloadDeviations*math.Sqrt(st.load*p.Dispersion) > st.MaxLoad
 }
 
 // Assign divides unowned spans among the targets, so that each is loaded in proportion to its capacity as far as possible.
@@ -190,13 +237,17 @@
 }
 
 // busiest returns the target with the highest utilization that a move away can still be planned for, closed ones included.
-func busiest(all []*targetState) *targetState {
+// Targets above their MaxLoad go before the others.
+func (p *Planner) busiest(all []*targetState) *targetState {
 	var best *targetState
 	for _, st := range all {
 		if st.exhausted || len(st.spans) == 0 {
 			continue
 		}
-		if best == nil || st.utilization() > best.utilization() {
+		switch {
+		case best == nil, p.overloaded(st) && !p.overloaded(best):
+			best = st
+		case st.utilization() > best.utilization() && p.overloaded(st) == p.overloaded(best):
 			best = st
 		}
 	}
@@ -213,27 +264,30 @@
 	mean := total / capacity
 	var moves []Move
 	for len(moves) < limit {
-		source, dest := busiest(all), idlest(all, 0, nil)
+		source, dest := p.busiest(all), idlest(all, 0, nil)
 		if source == nil || dest == nil || source == dest {
 			break
 		}
 		empty := len(dest.spans) == 0 && dest.load == 0
 		uneven := source.utilization() > busyUtilization && p.utilizationLowerBound(source) > imbalanceFactor*mean &&
 			source.utilization()-dest.utilization() > minUtilizationGap
-		if !empty && !uneven {
+		overloaded := p.overloaded(source)
+		if !empty && !uneven && !overloaded {
 			break
 		}
 		want := min((source.utilization()-mean)*source.Capacity, (mean-dest.utilization())*dest.Capacity)
-		if empty {
+		if overloaded {
+			want = min(source.load-source.MaxLoad, max((mean-dest.utilization())*dest.Capacity, minOverloadMove*dest.Capacity))
+		} else if empty {
 			want = min((mean-dest.utilization())*dest.Capacity, source.load/2)
 		}
 		i, part, ok := p.bestCut(source, want)
-		if !ok && uneven {
+		if !ok && (uneven || overloaded) {
 			i, part, dest, ok = p.hottestKeyToIdlest(source, all)
 		}
 		if !ok {
 			source.exhausted = true
-			if m, ok := p.hottestKeyToLargest(source, all); ok && uneven {
+			if m, ok := p.hottestKeyToLargest(source, all); ok && (uneven || overloaded) {
 				moves = append(moves, m)
 			}
 			continue
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -234,3 +234,69 @@
 		c.Assert(r.Owner.ID >= "t04", qt.IsTrue)
 	}
 }
+
+// Guards against a target with a limit that keeps the keys whose requests it will not take, or gets more: its load falls to
+// the limit although no target is busy, the other targets share the rest, and then nothing moves any more.
+func TestLoadAboveTheMaximumOfATargetMovesAway(t *testing.T) {
+	for name, tc := range map[string]struct {
+		base    float64
+		maxLoad []float64
+		// want is the expected load of each target, nil to check only the limits.
+		want []float64
+	}{
+		"calm":            {base: 4, maxLoad: []float64{0.2, 0, 0, 0}, want: []float64{0.2, 1.27, 1.27, 1.27}},
+		"busy":            {base: 20, maxLoad: []float64{0.5, 0, 0, 0}, want: []float64{0.5, 6.5, 6.5, 6.5}},
+		"two":             {base: 4, maxLoad: []float64{0.2, 0.6, 0, 0}, want: []float64{0.2, 0.6, 1.6, 1.6}},
+		"never reached":   {base: 4, maxLoad: []float64{3, 0, 0, 0}, want: []float64{1, 1, 1, 1}},
+		"almost nothing":  {base: 4, maxLoad: []float64{0.001, 0, 0, 0}, want: []float64{0, 1.33, 1.33, 1.33}},
+		"too little room": {base: 8, maxLoad: []float64{1, 1, 1, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sums := loadSums(tc.base, nil)
+			ts := targets(equalCapacities(4)...)
+			ranges := assignAll(sums, ts)
+			for i, m := range tc.maxLoad {
+				ts[i].MaxLoad = m
+			}
+			ranges, _ = settle(sums, ts, ranges)
+			_, again := settle(sums, ts, ranges)
+			c.Assert(again, qt.Equals, 0, qt.Commentf("%d moves after all had settled", again))
+			for i, want := range tc.want {
+				got := ownedLoad(sums, ranges, incarnation(i))
+				c.Check(got > want-0.25 && got < want+0.25, qt.IsTrue, qt.Commentf("target %d has %.2f, not %.2f", i, got, want))
+				if m := tc.maxLoad[i]; m > 0 {
+					c.Check(got <= m+0.02, qt.IsTrue, qt.Commentf("target %d has %.3f of %.3f", i, got, m))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a hot key that stays at a target whose limit is below what the key alone needs.
+func TestHotKeyLeavesATargetWithALimit(t *testing.T) {
+	c := qt.New(t)
+	sums := loadSums(1, map[int]float64{100: 1})
+	ts := targets(equalCapacities(4)...)
+	ranges := assignAll(sums, ts)
+	owner, ok := registrar.Find(ranges, 100)
+	c.Assert(ok, qt.IsTrue)
+	for i := range ts {
+		if ts[i].Incarnation == owner.Owner {
+			ts[i].MaxLoad = 0.3
+		}
+	}
+	ranges, _ = settle(sums, ts, ranges)
+	now, _ := registrar.Find(ranges, 100)
+	c.Assert(now.Owner, qt.Not(qt.Equals), owner.Owner)
+}
+
+func ownedLoad(sums []float64, ranges []registrar.Range, inc registrar.Incarnation) float64 {
+	load := 0.0
+	for _, r := range ranges {
+		if r.Owner == inc {
+			load += sums[int(r.To)+1] - sums[r.From]
+		}
+	}
+	return load
+}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -113,6 +113,8 @@
 	// A target that had ended, but whose address still accepted connections, kept its keys for ever: each unanswered
 	// grant extended the time for which it counted as their owner.
 	10,
+	// A target that stated a limit got more requests than that from all hosts together.
+	2,
 	// A new control host had no address of the leader, which had lost its own disk before, and so never caught up.
 	13,
 }
