Keep the limit that a target states in delegated dispatch

What callers saw: nothing yet.

Change: targets state it in Bramleyline-Limit, as a decimal number of requests per second. Requests wait for tokens in the lane's fair queue between keys, with the known refusal of what cannot run before its deadline. Lanes belong to one incarnation. The host reports the limit to the authority, which lowers the target's weight in the placement of slots to 0.7 of the limit, with a hysteresis of a quarter; balancing gives it nothing back. Absurd statements are ignored; the parser is shared with the platform (limiter.Parse). The emulated target has the flag -limit.

Also, TestUrgentRequestsGetTheFirstTokens failed by hanging; it is bounded now.

Not done: delegation of slots between data centres does not know limits, and refusals of delegated dispatch carry no Retry-After (they had none before).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,17 +13,24 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/timekeeper"
 )
 
+// limitLogInterval is the least time between two log lines on limits of targets.
+const limitLogInterval = 100 * time.Millisecond
+
+var counters = expvar.NewMap("dispatcher")
+
 var (
 	errQueueFull = errors.New("queue of the target is full")
 	errTooLate   = errors.New("request can no longer be run before its deadline")
@@ -44,6 +52,8 @@
 	Quarantiner *quarantiner.Quarantiner
 	// Sketch returns a new Sketch for one incarnation of a target. If it is nil, hot keys are not reported.
 	Sketch func() Sketch
+	// Log receives the changes of limits that targets state; it may be nil.
+	Log *log.Logger
 }
 
 // Job is a request for a target that this host dispatches for.
@@ -91,6 +101,8 @@
 	mu   sync.Mutex
 	// lanes is copied on write under mu, so that readers take no lock.
 	lanes atomic.Pointer[map[laneID]*lane]
+	// limitLoggedAt is when the limit of a target was last logged, in Unix nanoseconds.
+	limitLoggedAt atomic.Int64
 }
 
 // New returns a Dispatcher without lanes.
@@ -260,6 +272,9 @@
 		},
 	})
 	if fault == nil {
+		if l.observeLimit(resp.Header) {
+			d.logLimit(l)
+		}
 		resp, fault = parseRejection(resp)
 	}
 	if fault != nil {
@@ -272,6 +287,20 @@
 	return resp, nil
 }
 
+// logLimit logs the limit of a target after a change, at most once in limitLogInterval.
+func (d *Dispatcher) logLimit(l *lane) {
+	counters.Add("limitChanges", 1)
+	now := time.Now().UnixNano()
+	last := d.limitLoggedAt.Load()
+	if d.opts.Log == nil || now-last < int64(limitLogInterval) || !d.limitLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	l.mu.Lock()
+	limit := l.rate.limit
+	l.mu.Unlock()
+	d.opts.Log.Info("limit of target", "target", l.id.target, "service", l.id.service, "limit", limiter.Text(limit))
+}
+
 // parseRejection returns a fault in place of an answer whose headers state that the target did not run the request.
 func parseRejection(resp *sender.Response) (*sender.Response, *sender.Fault) {
 	switch resp.Status {
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -11,8 +11,10 @@
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/keyer"
+	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // laneID identifies one incarnation of a target: a new one starts cold and with an empty queue.
@@ -29,10 +31,13 @@
 	// quarantine records the requests in progress, to find those that crash the target.
 	quarantine *quarantiner.RunTracker
 
-	mu       sync.Mutex
-	limit    limit
-	queue    queue
-	inFlight int
+	mu    sync.Mutex
+	limit limit
+	rate  rateLimit
+	// tokenTimer says that a timer admits waiters at the next token of rate.
+	tokenTimer bool
+	queue      queue
+	inFlight   int
 	// abandoned holds the times at which requests in progress were given up. They keep their request slots until the
 	// target has answered a request that was sent later, because until then it may still run them.
 	abandoned []time.Time
@@ -48,12 +53,13 @@
 		l.sketch.Add(class)
 	}
 	l.limit.configure(*cfg)
-	if l.queue.len() == 0 && l.busy() < l.limit.allowed() {
+	if l.queue.len() == 0 && l.busy() < l.limit.allowed() && l.rate.take(timekeeper.Now()) {
 		l.admit(slot)
 		l.mu.Unlock()
 		return nil
 	}
-	if now.Add(l.limit.queueingDelay(l.queue.len() + l.busy())).Add(l.limit.expectedLatency()).After(deadline) {
+	wait := max(l.limit.queueingDelay(l.queue.len()+l.busy()), l.rate.delay(timekeeper.Now(), l.queue.len()+1))
+	if now.Add(wait).Add(l.limit.expectedLatency()).After(deadline) {
 		l.mu.Unlock()
 		return sender.NewRefusal(sender.ReasonOverloaded, "request cannot be run before its deadline")
 	}
@@ -65,6 +71,7 @@
 	if victim := l.queue.push(&w, cfg.QueueLimit); victim != nil {
 		victim.result <- errQueueFull
 	}
+	l.awaitToken()
 	l.mu.Unlock()
 	select {
 	case err := <-w.result:
@@ -140,8 +147,8 @@
 // admitWaiters gives free request slots to waiters, and refuses those that can no longer be answered before their
 // deadline. The caller holds the lock.
 func (l *lane) admitWaiters() {
-	now := time.Now()
-	for l.busy() < l.limit.allowed() {
+	now, tokenTime := time.Now(), timekeeper.Now()
+	for l.busy() < l.limit.allowed() && l.rate.delay(tokenTime, 1) == 0 {
 		w := l.queue.pop()
 		if w == nil {
 			return
@@ -150,9 +157,41 @@
 			w.result <- errTooLate
 			continue
 		}
+		l.rate.take(tokenTime)
 		l.occupy()
 		w.result <- nil
 	}
+	l.awaitToken()
+}
+
+// awaitToken starts a timer that admits waiters at the next token, if they wait for one. The caller holds the lock.
+func (l *lane) awaitToken() {
+	delay := l.rate.delay(timekeeper.Now(), 1)
+	if delay == 0 || l.tokenTimer || l.queue.len() == 0 {
+		return
+	}
+	l.tokenTimer = true
+	time.AfterFunc(delay, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.tokenTimer = false
+		l.admitWaiters()
+	})
+}
+
+// observeLimit records the limit that an answer of the target states.
+func (l *lane) observeLimit(h http.Header) (changed bool) {
+	limit, unreadable := limiter.Parse(h[headerLimit])
+	if unreadable {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.rate.set(timekeeper.Now(), limit) {
+		return false
+	}
+	l.admitWaiters()
+	return true
 }
 
 // finish records the result of a request and frees its request slot. f is nil if the answer arrived; whole says that it
--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -26,6 +26,8 @@
 	done atomic.Int64
 	// onStart is called before each request, if it is set.
 	onStart func(busy, done int64)
+	// limit is the limit that answers state, a string; empty for none.
+	limit atomic.Value
 }
 
 func newWorker(tb testing.TB, serviceTime time.Duration) *worker {
@@ -41,6 +43,9 @@
 		w.done.Add(1)
 		w.busy.Add(-1)
 		rw.Header().Set("Bramleyline-Request", r.Header.Get("Bramleyline-Request"))
+		if limit, _ := w.limit.Load().(string); limit != "" {
+			rw.Header().Set("Bramleyline-Limit", limit)
+		}
 		_, _ = io.WriteString(rw, "ok")
 	}))
 	tb.Cleanup(w.srv.Close)
--- a/dispatcher/traffic.go
+++ b/dispatcher/traffic.go
@@ -22,6 +22,13 @@
 			Target:   id.target,
 			InFlight: l.inFlight,
 			Requests: l.requests,
+
+			Incarnation: id.incarnation,
+			LimitHeard:  l.rate.heard,
+			Limited:     l.rate.limit != nil,
+		}
+		if m.Limited {
+			m.Limit = *l.rate.limit
 		}
 		idle := l.inFlight == 0 && l.queue.len() == 0 && len(l.requests) == 0
 		l.requests = nil
--- a/emulator/handler.go
+++ b/emulator/handler.go
@@ -24,6 +24,7 @@
 	HeaderDeadline = "Bramleyline-Deadline"
 	HeaderOutcome  = "Bramleyline-Outcome"
 	HeaderReason   = "Bramleyline-Reason"
+	HeaderLimit    = "Bramleyline-Limit"
 	// HeaderIdentity carries the caller's identity of a request, HeaderAttempt the number of the caller's attempt and
 	// HeaderKey the key as plain text, for the record of runs.
 	HeaderIdentity = "Idempotency-Key"
@@ -69,6 +70,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+	if limit := inc.emulator.opts.Limit; limit != "" {
+		w.Header().Set(HeaderLimit, limit)
+	}
 	run, serviceTime, rej := inc.admit(r, arrived)
 	if rej != nil {
 		writeRejection(w, *rej)
--- a/emulator/options.go
+++ b/emulator/options.go
@@ -66,6 +66,9 @@
 	// zero whatever the true age is.
 	LoadAge     time.Duration
 	HideLoadAge bool
+	// Limit is the number of requests per second that answers state as the target's limit, as the text of the header; empty
+	// for none. The target itself does not enforce it.
+	Limit string
 	// AcceptsWhileDraining makes the target accept new requests while it is draining.
 	AcceptsWhileDraining bool
 }
@@ -122,6 +125,7 @@
 	fs.IntVar(&o.Connections, "connections", o.Connections, "connections accepted")
 	fs.BoolVar(&o.Warm, "warm", o.Warm, "skip the cold start")
 	fs.BoolVar(&o.IgnoresEpoch, "ignoresEpoch", o.IgnoresEpoch, "do not compare epochs")
+	fs.StringVar(&o.Limit, "limit", o.Limit, "requests per second that answers state as the limit")
 	fs.DurationVar(&o.LoadAge, "loadAge", o.LoadAge, "age of the reported load")
 	fs.BoolVar(&o.HideLoadAge, "loadMisleads", o.HideLoadAge, "state an age of zero for the load")
 }
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -103,6 +103,10 @@
 	// last heartbeat is older than half a dispatch lease.
 	outOfService bool
 	lost         bool
+	// limit is the number of requests per second that the target states to take; nil if it states none. weight is its weight
+	// in the placement of slots.
+	limit  *float64
+	weight int
 	// removed is true once the target holds no slot after it was lost or superseded; hosts drop it from their tables.
 	removed bool
 	// version is the version of the table in which the target's entry changed last.
@@ -297,6 +301,7 @@
 		if t, ok := g.tables[l.Service]; ok {
 			t.addLoad(l)
 		}
+		g.recordLimit(l)
 	}
 	if g.mayGrant() {
 		answer.Lease = g.config.Timing.DispatchLease
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -275,3 +275,38 @@
 		}
 	}
 }
+
+// TestSlotsLeaveTargetWithLimit guards against a target with a limit that keeps the slots whose requests it does not take,
+// and against slots that move back and forth.
+func TestSlotsLeaveTargetWithLimit(t *testing.T) {
+	c := qt.New(t)
+	r := newHarness(4, 256)
+	r.run(3 * time.Second)
+	count := func() int {
+		n := 0
+		for _, owner := range r.owners {
+			if owner == "t0001" {
+				n++
+			}
+		}
+		return n
+	}
+	c.Assert(count(), qt.Equals, 64)
+	// Two hosts report twenty times a second: each slot gets 40 requests a second, each target 2,560.
+	requests := map[keyer.Slot]uint32{}
+	for s := range r.owners {
+		requests[s] = 1
+	}
+	r.loads = []reporter.LoadMsg{{Service: "tally", Requests: requests}}
+	r.run(20 * time.Second)
+	c.Assert(count(), qt.Equals, 64)
+	limit := reporter.LoadMsg{Service: "tally", Target: "t0001", Incarnation: 1, LimitHeard: true, Limited: true, Limit: 1280}
+	r.loads = append(r.loads, limit)
+	r.run(5 * time.Second)
+	limited := count()
+	c.Assert(limited >= 14 && limited <= 32, qt.IsTrue, qt.Commentf("%d of 64 slots", limited))
+	r.moves = 0
+	r.run(40 * time.Second)
+	c.Assert(r.moves <= 16, qt.IsTrue, qt.Commentf("%d moves", r.moves))
+	c.Assert(count() <= 32, qt.IsTrue, qt.Commentf("%d of 64 slots", count()))
+}
--- a/granter/move.go
+++ b/granter/move.go
@@ -28,19 +28,22 @@
 	ownerNumbers := make(map[*target]int32, len(targets))
 	p := placer.Placer{
 		Weights: make([]int, len(targets)),
+		Limited: make([]bool, len(targets)),
 	}
+	g.updateWeights(tab, targets)
 	for i, t := range targets {
 		ownerNumbers[t] = int32(i)
 		// A target whose dispatching host changes, or whose lease may be about to expire, keeps its slots until its
 		// host reports that the lease has expired.
 		if g.keepsSlots(t) && !dataCentreOut {
-			p.Weights[i] = 1
+			p.Weights[i] = t.weight
+			p.Limited[i] = t.weight < fullWeight
 		}
 	}
 	owners, slots := g.placeableSlots(tab, ownerNumbers, dataCentreOut)
 	joining := g.hasEmptyTarget(targets, owners)
 	for _, m := range p.Place(owners) {
-		forced := m.From == placer.NoOwner || p.Weights[m.From] == 0
+		forced := m.From == placer.NoOwner || p.Weights[m.From] == 0 || p.Limited[m.From]
 		if g.inService(targets[m.To]) && (forced || joining) {
 			g.planOwner(tab, slots[m.Slot], targets[m.To])
 		}
@@ -112,6 +115,7 @@
 		for i := range tab.loads {
 			tab.loads[i] /= 2
 		}
+		tab.loadTime = (tab.loadTime + loadHalfLife) / 2
 	}
 }
 
--- a/granter/table.go
+++ b/granter/table.go
@@ -58,6 +58,8 @@
 	// loads counts the requests by slot, halved every loadHalfLife.
 	loads         []float64
 	loadsHalvedAt time.Time
+	// loadTime is the time that loads stand for as of loadsHalvedAt: a steady rate x loadTime gives them.
+	loadTime time.Duration
 	// yield is the set of slots to release for another data centre, as the control leader requested.
 	yield map[keyer.Slot]struct{}
 	// rebalancing is true if the last rebalancing moved slots, and moveTimes lists the times of recent moves for
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -119,7 +119,7 @@
 				Incarnation: inc,
 				Limit:       tc.view,
 			})
-			c.Assert(equal(got, tc.want), qt.IsTrue, qt.Commentf("%v", text(got)))
+			c.Assert(equal(got, tc.want), qt.IsTrue, qt.Commentf("%v", Text(got)))
 		})
 	}
 }
@@ -220,7 +220,7 @@
 		})
 	}
 	waiting := func(n int) {
-		for {
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 			l.mu.Lock()
 			st := l.targets[tg.Incarnation]
 			reached := st != nil && st.asking && len(st.waiters) == n
@@ -228,8 +228,8 @@
 			if reached {
 				return
 			}
-			time.Sleep(time.Millisecond)
 		}
+		c.Fatalf("not %d requests wait", n)
 	}
 	take(false)
 	waiting(0)
--- a/limiter/stated.go
+++ b/limiter/stated.go
@@ -105,7 +105,7 @@
 	if equal(st.stated, st.logged) || now.Sub(st.loggedAt) < logInterval {
 		return
 	}
-	l.opts.Log.Info("limit of target", "target", inc.ID, "service", service, "limit", text(st.stated), "before", text(st.logged))
+	l.opts.Log.Info("limit of target", "target", inc.ID, "service", service, "limit", Text(st.stated), "before", Text(st.logged))
 	st.logged, st.loggedAt = st.stated, now
 }
 
@@ -113,8 +113,8 @@
 	return a == b || a != nil && b != nil && *a == *b
 }
 
-// text returns a limit for a log line.
-func text(limit *float64) any {
+// Text returns a limit for a log line.
+func Text(limit *float64) any {
 	if limit == nil {
 		return "none"
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,6 +21,8 @@
 // slots.
 type Placer struct {
 	Weights []int
+	// Limited holds the owners that get no slots for balance, since they state a limit; nil for none.
+	Limited []bool
 }
 
 // Place returns the fewest moves after which the slots of each owner differ from its share by less than one. Slots
--- a/placer/rebalance.go
+++ b/placer/rebalance.go
@@ -39,7 +39,7 @@
 	var moves []Move
 	for len(moves) < budget {
 		hottest, coolest := p.extremes(sums)
-		if hottest == coolest || sums[hottest] <= r.ImbalanceLow*mean {
+		if coolest == NoOwner || hottest == coolest || sums[hottest] <= r.ImbalanceLow*mean {
 			return moves
 		}
 		slot, ok := bestSlot(owners, loads, hottest, sums[hottest]-sums[coolest])
@@ -105,7 +105,7 @@
 		if hottest == NoOwner || sums[i] > sums[hottest] {
 			hottest = int32(i)
 		}
-		if coolest == NoOwner || sums[i] < sums[coolest] {
+		if (coolest == NoOwner || sums[i] < sums[coolest]) && (p.Limited == nil || !p.Limited[i]) {
 			coolest = int32(i)
 		}
 	}
--- a/reporter/report.go
+++ b/reporter/report.go
@@ -55,6 +55,12 @@
 	Service  string
 	Target   string
 	InFlight int
+	// Incarnation is that of the target. LimitHeard says that it has answered this host; Limited that its last answer stated
+	// a limit, and Limit the number of requests per second in it.
+	Incarnation uint64
+	LimitHeard  bool
+	Limited     bool
+	Limit       float64
 	// Requests counts requests by slot. HotKeys maps the hot keys that the heavy-hitter sketch found to their counts.
 	Requests map[keyer.Slot]uint32
 	HotKeys  map[string]uint32
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/dispatcher"
 	"bramleyline.example/bramleyline/locator"
@@ -40,6 +42,8 @@
 	Seed uint64
 	// Sketch creates the heavy-hitter sketch that finds the hot keys of one target; nil means none.
 	Sketch func() dispatcher.Sketch
+	// Log receives changes of the limits that targets state; it may be nil.
+	Log *log.Logger
 	// Dial makes connections to targets and hosts; nil means a plain net.Dialer.
 	Dial sender.DialFunc
 }
@@ -76,6 +80,7 @@
 			Locator: opts.Locator,
 			Sender:  s,
 			Sketch:  opts.Sketch,
+			Log:     opts.Log,
 		}),
 		signer: newSigner(opts.PeerKey),
 		watch: watcher{
--- a/server/components.go
+++ b/server/components.go
@@ -137,6 +137,7 @@
 		Dial:       s.dial,
 		PeerTLS:    s.certifier.Client,
 		Sketch:     newSketch,
+		Log:        s.logger,
 	})
 	p.SetTraffic(s.router.Traffic())
 	if err := p.Register(s.rpc); err != nil {
