Share the retry slack among the hosts of the newest view

What callers saw: nothing yet; targets can get more retries than the deployment allows.

Cause: a host divided the slack by the number of hosts of its view at the first request of a service, once. A host that serves before the others are registered kept the whole slack for ever, and beyond as many hosts as the slack has retries each host had one.

Change: the budget is resized to the host's part of the slack (viewer.View.Share, as for limits and cold targets) whenever a retry is wanted. It adds no retries; a host whose part is zero begins with none and collects those of its own first attempts.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -166,7 +166,7 @@
 			}
 			return refusal
 		}
-		if x.attempts > 0 && !x.f.retryBudget(x.service.Name).Withdraw(x.f.opts.Limits.RetryShare) {
+		if x.attempts > 0 && !x.f.withdrawRetry(x.service.Name) {
 			return x.giveUp(reasonOverloaded, x.retryAfter)
 		}
 		a, retry := x.attempt(ctx, t)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -121,16 +121,22 @@
 	if b, ok := f.retryBudgets.Load(service); ok {
 		return b.(*retrier.Budget)
 	}
-	burst := f.opts.Limits.RetrySlack
-	if v, _ := f.opts.View(); v != nil && v.Hosts > 0 {
-		burst /= float64(v.Hosts)
-	}
 	b, _ := f.retryBudgets.LoadOrStore(service, &retrier.Budget{
-		Burst: max(1, int(burst)),
+		Burst: max(1, int(f.opts.Limits.RetrySlack)),
 	})
 	return b.(*retrier.Budget)
 }
 
+// withdrawRetry takes a retry from the budget of a service and reports whether there was one. The slack is shared with the
+// other hosts of the newest view.
+func (f *Forwarder) withdrawRetry(service string) bool {
+	b := f.retryBudget(service)
+	if v, _ := f.opts.View(); v != nil {
+		b.Resize(v.Share(int(f.opts.Limits.RetrySlack), service))
+	}
+	return b.Withdraw(f.opts.Limits.RetryShare)
+}
+
 func (f *Forwarder) serviceTime(route string) *serviceTimeEstimate {
 	if e, ok := f.serviceTimes.Load(route); ok {
 		return e.(*serviceTimeEstimate)
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -2,7 +2,10 @@
 // to a share of first attempts, so that failures do not turn into a retry storm.
 package retrier
 
-import "sync/atomic"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 const (
 	// tokensPerAttempt is the number of tokens for one attempt. Shares below a thousandth count as zero.
@@ -15,9 +18,12 @@
 // Budget is a token bucket: each first attempt adds its share of an attempt, each further attempt takes a whole one.
 // The zero value is a full bucket. It is lock-free and safe for concurrent use.
 type Budget struct {
-	// Burst is the number of attempts that a full bucket allows at once; zero means 10.
+	// Burst is the number of attempts that a full bucket allows at once before the first Resize; zero means 10.
 	Burst int
 
+	mu sync.Mutex
+	// resized is the argument of the last Resize plus one, zero before the first one.
+	resized atomic.Int64
 	// spent is the number of tokens missing from a full bucket, so that the zero value is full.
 	spent atomic.Int64
 }
@@ -52,7 +58,30 @@
 	}
 }
 
+// Resize changes the number of attempts that may be in the bucket now to at most n, and the burst to n, but at least one, so
+// that a bucket of size zero begins empty and still collects the shares of first attempts. It adds no attempts.
+func (b *Budget) Resize(n int) {
+	if b.resized.Load() == int64(n)+1 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.burst()
+	b.resized.Store(int64(n) + 1)
+	size := b.burst()
+	for {
+		spent := b.spent.Load()
+		left := min(old*tokensPerAttempt-spent, int64(n)*tokensPerAttempt)
+		if b.spent.CompareAndSwap(spent, size*tokensPerAttempt-max(0, left)) {
+			return
+		}
+	}
+}
+
 func (b *Budget) burst() int64 {
+	if n := b.resized.Load(); n > 0 {
+		return max(1, n-1)
+	}
 	if b.Burst > 0 {
 		return int64(b.Burst)
 	}
