Do not let a slow control leader hold requests or lose its connections

A leader with a quota of processor time stands still for up to 100 ms, which was just the timeout of a question for tokens.

Change: a question may take 500 ms, as long as a report; a request waits for 120 ms of it beside the delay that it can bear, and then, or after a failure, no request of this host waits for 250 ms: each is refused at once.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -28,10 +28,14 @@
 	shareWindow = 4 * time.Second
 	// shareBurst divides the fixed share of a shareWindow into the part that may be used at once.
 	shareBurst = 4
-	// askTimeout bounds the wait for the control leader, which is a few milliseconds away, and askBackoff is how long
-	// nobody asks after a failure: requests are refused at once meanwhile.
-	askTimeout = 100 * time.Millisecond
+	// patience bounds the wait of a request for the control leader, which is a few milliseconds away; a leader with a quota of
+	// processor time may stand still for a tenth of a second. After a wait in vain, requests are refused at once for
+	// askBackoff.
+	patience   = 120 * time.Millisecond
 	askBackoff = 250 * time.Millisecond
+	// askTimeout bounds a question. It is longer than patience, as a call that times out closes its connection, which the
+	// host may need for other calls.
+	askTimeout = 500 * time.Millisecond
 	// maxWaiters bounds the requests that wait for tokens of one target.
 	maxWaiters = 64
 	// maxPause bounds the time for which requests are refused without asking, so that a limit that rises is noticed.
@@ -162,14 +166,27 @@
 		go l.ask(t.Incarnation, st)
 	}
 	l.mu.Unlock()
+	timer := time.NewTimer(patience + r.MaxDelay)
+	defer timer.Stop()
 	select {
 	case refusal := <-w.result:
 		return refusal
+	case <-timer.C:
+		return l.giveUp(st)
 	case <-ctx.Done():
 		return &Refusal{}
 	}
 }
 
+// giveUp refuses a request for which the control leader did not answer in time.
+func (l *Limiter) giveUp(st *target) *Refusal {
+	counters.Add("refusals", 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unreachableUntil = l.now().Add(askBackoff)
+	return st.refusal(askBackoff)
+}
+
 // binding returns the limit that binds this host at t, nil if there is none. The view and the last answer of the target
 // may differ for a while; the newer of the two counts, and the lower if that is not clear.
 func (l *Limiter) binding(now time.Time, t *viewer.Target) (*target, *float64) {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -188,6 +188,25 @@
 	c.Assert(len(delays) > 50, qt.IsTrue, qt.Commentf("%d different delays", len(delays)))
 }
 
+// Guards against requests that wait for a leader that stands still: the first waits for a moment, the next ones not at all.
+func TestRequestsDoNotWaitForASlowLeader(t *testing.T) {
+	c := qt.New(t)
+	l := newLimiter(1, 0, &bytes.Buffer{})
+	l.opts.Ask = func(ctx context.Context, _ issuer.AskMsg) (issuer.IssueMsg, error) {
+		<-ctx.Done()
+		return issuer.IssueMsg{}, ctx.Err()
+	}
+	tg := &viewer.Target{
+		Incarnation: incarnation("i-1"),
+		Limit:       stated(1),
+	}
+	began := time.Now()
+	for range 50 {
+		c.Assert(l.Take(c.Context(), tg, Request{}), qt.IsNotNil)
+	}
+	c.Assert(time.Since(began) < 2*askTimeout, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+}
+
 // Guards against a host that sends what it has no token for, and against an urgent request that stands behind others: the
 // requests that wait are asked for together, the urgent ones first.
 func TestUrgentRequestsGetTheFirstTokens(t *testing.T) {
