Read no clock for targets without a limit in delegated dispatch

What callers saw: nothing. Each request of delegated dispatch read CLOCK_BOOTTIME three times for the token bucket, also where the target states no limit; changes of two targets within 100 ms gave one log line.

Change: the bucket reads the clock itself, only if there is one. Each lane logs its own limit, at most once a second. A report that holds only limits does not wake the control leader's loop.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -167,6 +167,9 @@
 	for _, m := range stated {
 		s.issuer.Observe(timekeeper.Now(), m)
 	}
+	if len(reports) == 0 {
+		return
+	}
 	select {
 	case s.reports <- reports:
 	default:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,9 +26,6 @@
 	"bramleyline.example/bramleyline/timekeeper"
 )
 
-// limitLogInterval is the least time between two log lines on limits of targets.
-const limitLogInterval = 100 * time.Millisecond
-
 var counters = expvar.NewMap("dispatcher")
 
 var (
@@ -101,8 +98,6 @@
 	mu   sync.Mutex
 	// lanes is copied on write under mu, so that readers take no lock.
 	lanes atomic.Pointer[map[laneID]*lane]
-	// limitLoggedAt is when the limit of a target was last logged, in Unix nanoseconds.
-	limitLoggedAt atomic.Int64
 }
 
 // New returns a Dispatcher without lanes.
@@ -272,8 +267,8 @@
 		},
 	})
 	if fault == nil {
-		if l.observeLimit(resp.Header) {
-			d.logLimit(l)
+		if limit, logDue := l.observeLimit(resp.Header); logDue && d.opts.Log != nil {
+			d.opts.Log.Info("limit of target", "target", l.id.target, "service", l.id.service, "limit", limiter.Text(limit))
 		}
 		resp, fault = parseRejection(resp)
 	}
@@ -287,20 +282,6 @@
 	return resp, nil
 }
 
-// logLimit logs the limit of a target after a change, at most once in limitLogInterval.
-func (d *Dispatcher) logLimit(l *lane) {
-	counters.Add("limitChanges", 1)
-	now := time.Now().UnixNano()
-	last := d.limitLoggedAt.Load()
-	if d.opts.Log == nil || now-last < int64(limitLogInterval) || !d.limitLoggedAt.CompareAndSwap(last, now) {
-		return
-	}
-	l.mu.Lock()
-	limit := l.rate.limit
-	l.mu.Unlock()
-	d.opts.Log.Info("limit of target", "target", l.id.target, "service", l.id.service, "limit", limiter.Text(limit))
-}
-
 // parseRejection returns a fault in place of an answer whose headers state that the target did not run the request.
 func parseRejection(resp *sender.Response) (*sender.Response, *sender.Fault) {
 	switch resp.Status {
--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -14,7 +14,6 @@
 	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
-	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // laneID identifies one incarnation of a target: a new one starts cold and with an empty queue.
@@ -53,12 +52,12 @@
 		l.sketch.Add(class)
 	}
 	l.limit.configure(*cfg)
-	if l.queue.len() == 0 && l.busy() < l.limit.allowed() && l.rate.take(timekeeper.Now()) {
+	if l.queue.len() == 0 && l.busy() < l.limit.allowed() && l.rate.take() {
 		l.admit(slot)
 		l.mu.Unlock()
 		return nil
 	}
-	wait := max(l.limit.queueingDelay(l.queue.len()+l.busy()), l.rate.delay(timekeeper.Now(), l.queue.len()+1))
+	wait := max(l.limit.queueingDelay(l.queue.len()+l.busy()), l.rate.delay(l.queue.len()+1))
 	if now.Add(wait).Add(l.limit.expectedLatency()).After(deadline) {
 		l.mu.Unlock()
 		return sender.NewRefusal(sender.ReasonOverloaded, "request cannot be run before its deadline")
@@ -147,8 +146,8 @@
 // admitWaiters gives free request slots to waiters, and refuses those that can no longer be answered before their
 // deadline. The caller holds the lock.
 func (l *lane) admitWaiters() {
-	now, tokenTime := time.Now(), timekeeper.Now()
-	for l.busy() < l.limit.allowed() && l.rate.delay(tokenTime, 1) == 0 {
+	now := time.Now()
+	for l.busy() < l.limit.allowed() && l.rate.delay(1) == 0 {
 		w := l.queue.pop()
 		if w == nil {
 			return
@@ -157,7 +156,7 @@
 			w.result <- errTooLate
 			continue
 		}
-		l.rate.take(tokenTime)
+		l.rate.take()
 		l.occupy()
 		w.result <- nil
 	}
@@ -166,7 +165,7 @@
 
 // awaitToken starts a timer that admits waiters at the next token, if they wait for one. The caller holds the lock.
 func (l *lane) awaitToken() {
-	delay := l.rate.delay(timekeeper.Now(), 1)
+	delay := l.rate.delay(1)
 	if delay == 0 || l.tokenTimer || l.queue.len() == 0 {
 		return
 	}
@@ -179,19 +178,21 @@
 	})
 }
 
-// observeLimit records the limit that an answer of the target states.
-func (l *lane) observeLimit(h http.Header) (changed bool) {
+// observeLimit records the limit that an answer of the target states, and reports whether it is to be logged.
+func (l *lane) observeLimit(h http.Header) (limit *float64, logDue bool) {
 	limit, unreadable := limiter.Parse(h[headerLimit])
-	if unreadable {
-		return false
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.rate.set(timekeeper.Now(), limit) {
-		return false
+	if unreadable {
+		return l.rate.limit, false
 	}
-	l.admitWaiters()
-	return true
+	if !equal(limit, l.rate.limit) {
+		counters.Add("limitChanges", 1)
+		l.rate.set(limit)
+		l.admitWaiters()
+	}
+	l.rate.heard = true
+	return limit, l.rate.logDue()
 }
 
 // finish records the result of a request and frees its request slot. f is nil if the answer arrived; whole says that it
