--- a/issuer/issuer_test.go
+++ b/issuer/issuer_test.go
@@ -207,3 +207,29 @@
 	c.Assert(s.Changes(start, registrar.Registry{}), qt.HasLen, 0)
 	c.Assert(len(s.targets), qt.Equals, 0)
 }
+
+// BenchmarkIssue measures one question for a token, with so many targets that state a limit.
+func BenchmarkIssue(b *testing.B) {
+	for _, targets := range []int{1, 1000} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			var s Issuer
+			for i := range targets {
+				s.Observe(start, StatedMsg{
+					Target: registrar.Incarnation{
+						ID: fmt.Sprint(i),
+					},
+					Stated: true,
+					Limit:  6,
+				})
+			}
+			m := ask(number(6), 1)
+			m.Target.ID = "0"
+			reg := registry(nil)
+			now := start
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				s.Issue(now, reg, m)
+			}
+		})
+	}
+}
