Publish the limits of targets as metrics

What operators saw: counters of requests and refusals, but not how many targets state a limit, nor how much they take together. The control leader now publishes both (issuer.targets, issuer.limits), and each entry host the number of targets with a limit that it sends to (limiter.targets); they are zero on a host that does not lead.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -281,6 +281,7 @@
 	if !ok {
 		if s.lessor != nil {
 			s.opts.Log.Info("leadership ended", "since", since)
+			s.issuer.Reset()
 		}
 		s.lessor = nil
 		return
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -43,6 +43,17 @@
 
 var counters = expvar.NewMap("issuer")
 
+// limitedTargets is the number of targets with a limit, and limitSum the sum of their limits in requests per second.
+var (
+	limitedTargets expvar.Int
+	limitSum       expvar.Float
+)
+
+func init() {
+	counters.Set("targets", &limitedTargets)
+	counters.Set("limits", &limitSum)
+}
+
 // StatedMsg tells what a target stated in its last answer to one host.
 type StatedMsg struct {
 	Target registrar.Incarnation
@@ -125,6 +136,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targets, s.seen = nil, registrar.Pool{}
+	limitedTargets.Set(0)
+	limitSum.Set(0)
 }
 
 func (s *Issuer) add(inc registrar.Incarnation) *target {
@@ -202,6 +215,11 @@
 	defer s.mu.Unlock()
 	s.follow(now, reg)
 	var changes []registrar.StatedLimit
+	n, sum := 0, 0.0
+	defer func() {
+		limitedTargets.Set(int64(n))
+		limitSum.Set(sum)
+	}()
 	for inc, t := range s.targets {
 		known, ok := reg.Target(inc.ID)
 		if !ok || !known.Born.Equal(inc.Born) {
@@ -211,6 +229,10 @@
 		if now.Sub(t.heardAt) > expiry {
 			t.limit = nil
 		}
+		if t.limit != nil {
+			n++
+			sum += *t.limit
+		}
 		if equal(known.Limit, t.limit) {
 			if t.limit == nil && now.Sub(t.heardAt) > settleTime {
 				delete(s.targets, inc)
--- a/issuer/issuer_test.go
+++ b/issuer/issuer_test.go
@@ -172,6 +172,7 @@
 	c.Assert(commit(start), qt.Equals, "nothing")
 	s.Observe(start, statement(number(6.3), 0))
 	c.Assert(commit(start), qt.Equals, "6.3")
+	c.Assert(counters.Get("limits").String()+" "+counters.Get("targets").String(), qt.Equals, "6.3 1")
 	c.Assert(commit(start), qt.Equals, "nothing")
 	s.Observe(start.Add(time.Second), statement(nil, 0))
 	c.Assert(commit(start.Add(time.Second)), qt.Equals, "none")
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -116,11 +116,13 @@
 
 // New returns a Limiter that knows no limits.
 func New(o Options) *Limiter {
-	return &Limiter{
+	l := &Limiter{
 		opts:    o,
 		now:     timekeeper.Now,
 		targets: make(map[registrar.Incarnation]*target),
 	}
+	counters.Set("targets", expvar.Func(func() any { return l.size.Load() }))
+	return l
 }
 
 // Take takes a token for one attempt at t, for which it may wait. It returns nil if the request may be sent now.
