Delegate slots of a data centre to which no host belongs any more

What callers saw: the control leader panics, and its successors too, so nobody grants or moves anything.

Cause: a slot whose data centre has no registered host has the owner number -1, and the planned move away from it indexes the weights with that number, unless the slot is movable at once. It happens when the last host of a data centre starts in another one while slots there still have owners.

Change: such a slot needs no allowance to move. It waits for its hold as before and is then delegated elsewhere. The other uses of owner numbers as an index check them (placer.eligible, moveAllowance, the loop after it; granter.moveSlots tests for no owner first).

--- a/delegator/plan.go
+++ b/delegator/plan.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		_, requested := p.toRelease[slot]
-		if weights[m.From] > 0 && !requested {
+		if m.From != placer.NoOwner && weights[m.From] > 0 && !requested {
 			if movesLeft <= 0 {
 				continue
 			}
