Leave the address of a target that started later to it

What callers saw: a target that started later vanishes from the registry, with its keys, when an older one announces its address.

Cause: Registry.Changes checked who has the address only for incarnations that it did not know. A known one with another address than before passed at once, and Announce removed whoever was there.

Change: an announcement of another address goes through the same check: the target that started later keeps the address. An older process there has ended, as before.

Measured: TestAnnouncedAddressOfALaterTargetIsNotTaken fails before and passes now, with all tests of registrar (one run).

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -154,7 +154,9 @@
 			if t.Seq < old.Seq {
 				return false
 			}
-			return t.Draining && !old.Draining || t.Cold != old.Cold || t.Addr != old.Addr
+			if t.Addr == old.Addr {
+				return t.Draining && !old.Draining || t.Cold != old.Cold
+			}
 		}
 	}
 	// The target that started later has the address: the process of the other has ended.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -168,6 +168,21 @@
 	c.Assert(r.RangeList("tally"), qt.HasLen, 1)
 }
 
+// Guards against an older target that announces another address and so removes the target that started there later. One that
+// started earlier has ended.
+func TestAnnouncedAddressOfALaterTargetIsNotTaken(t *testing.T) {
+	c := qt.New(t)
+	older, later := target("a", 1, 80, 1), target("b", 2, 81, 1)
+	r := Registry{}.Announce(1, older).Announce(2, later)
+	claimed := r.Announce(3, target("a", 1, 81, 2))
+	c.Assert(claimed.Alive(later.Incarnation), qt.IsTrue)
+	kept, _ := claimed.Target("a")
+	c.Assert(kept.Addr, qt.Equals, older.Addr)
+	moved := r.Announce(3, target("b", 2, 80, 2))
+	c.Assert(moved.Alive(later.Incarnation), qt.IsTrue)
+	c.Assert(moved.Alive(older.Incarnation), qt.IsFalse)
+}
+
 // Guards against a range that keeps its old fence under a new leader, and against a new fence for a range whose owner
 // has ended.
 func TestRefenceReachesAllRangesOfLivingOwners(t *testing.T) {
