Compare two different targets in the choice of a shared service

What callers saw: a target that fails half of its requests gets some of them anyway.

Cause: Choose drew two targets with replacement.

Change: the two targets with the least of exponential draws, with the capacity of the target as their rate: a weighted sample without replacement in one pass. Tests draw from a seed that they log.

--- a/selector/herd_test.go
+++ b/selector/herd_test.go
@@ -82,6 +82,7 @@
 	for range hosts {
 		sim.hosts = append(sim.hosts, &Selector{
 			DataCentre: "a",
+			Random:     sim.rng,
 		})
 	}
 	for i := range targets {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -70,6 +70,8 @@
 type Selector struct {
 	// DataCentre is the data centre of this host.
 	DataCentre string
+	// Random is the source of the draws, for tests; nil means the generator of math/rand/v2.
+	Random *rand.Rand
 
 	mu    sync.Mutex
 	stats map[registrar.Incarnation]*targetStats
@@ -181,11 +183,12 @@
 		}
 		capacity := float64(max(1, t.Slots)) / (ratedSlowness(t) * st.observedSlowness)
 		if t.DataCentre == s.DataCentre {
-			local.offer(t, score, capacity)
-			overall.offer(t, score, capacity)
+			draw := s.expFloat64() / capacity
+			local.offer(t, score, draw)
+			overall.offer(t, score, draw)
 			continue
 		}
-		overall.offer(t, score*remotePenalty, capacity)
+		overall.offer(t, score*remotePenalty, s.expFloat64()/capacity)
 	}
 	if best := local.best(); best.target != nil && best.score < localObjectiveShare*float64(n.Objective) {
 		return best.target
@@ -196,19 +199,24 @@
 	return backedOff.target
 }
 
-// weightedPair draws two targets at random, weighted by their capacity, in one pass (reservoir sampling). Both may be
-// the same.
+// weightedPair draws two different targets at random in one pass: those with the least draws. With draws that are
+// distributed exponentially with the capacity of the target as their rate, that is a sample without replacement that is
+// weighted by capacity. Comparing a target with itself would choose it however bad it is.
 type weightedPair [2]struct {
 	candidate
-	totalCapacity float64
+	draw float64
 }
 
-func (c *weightedPair) offer(t *viewer.Target, score, capacity float64) {
+func (c *weightedPair) offer(t *viewer.Target, score, draw float64) {
 	for i := range c {
 		d := &c[i]
-		d.totalCapacity += capacity
-		if rand.Float64()*d.totalCapacity < capacity {
-			d.target, d.score = t, score
+		if d.target == nil || draw < d.draw {
+			d.target, t = t, d.target
+			d.score, score = score, d.score
+			d.draw, draw = draw, d.draw
+		}
+		if t == nil {
+			return
 		}
 	}
 }
@@ -235,7 +243,21 @@
 // jitter returns a random factor from 0.95 to 1.05, which spreads hosts with the same loads over targets with about the
 // same score.
 func (s *Selector) jitter() float64 {
-	return 0.95 + 0.1*rand.Float64()
+	return 0.95 + 0.1*s.float64()
+}
+
+func (s *Selector) float64() float64 {
+	if s.Random != nil {
+		return s.Random.Float64()
+	}
+	return rand.Float64()
+}
+
+func (s *Selector) expFloat64() float64 {
+	if s.Random != nil {
+		return s.Random.ExpFloat64()
+	}
+	return rand.ExpFloat64()
 }
 
 func usable(t *viewer.Target) bool {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -23,6 +24,13 @@
 	}
 }
 
+// random returns a source of draws whose seed is logged.
+func random(t *testing.T) *rand.Rand {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
 func need() Need {
 	return Need{
 		Work:      80 * time.Millisecond,
@@ -35,6 +43,7 @@
 	c := qt.New(t)
 	s := Selector{
 		DataCentre: "b",
+		Random:     random(t),
 	}
 	p := viewer.Pool{
 		Targets: []viewer.Target{target(0, "a"), target(1, "b"), target(2, "b"), target(3, "c")},
@@ -52,6 +61,7 @@
 	c := qt.New(t)
 	s := Selector{
 		DataCentre: "b",
+		Random:     random(t),
 	}
 	p := viewer.Pool{
 		Targets: []viewer.Target{target(0, "a"), target(1, "b")},
@@ -72,6 +82,7 @@
 	c := qt.New(t)
 	s := Selector{
 		DataCentre: "a",
+		Random:     random(t),
 	}
 	p := viewer.Pool{
 		Targets: []viewer.Target{target(0, "a"), target(1, "a")},
@@ -100,6 +111,7 @@
 	c := qt.New(t)
 	s := Selector{
 		DataCentre: "a",
+		Random:     random(t),
 	}
 	p := viewer.Pool{
 		Targets: []viewer.Target{target(0, "a"), target(1, "a")},
