Accept the connections that wait when a host of delegated dispatch stops

What callers saw: requests cut by a planned stop, although the host was still in rotation when they were sent.

Cause: http.Server.Shutdown closes the listener at once, and the operating system resets the connections that it has accepted and the process has not. A host that stands still for 0.1 s has several of them.

Change: on a stop, the listener accepts what waits and closes after 10 ms without a new connection, after 0.5 s at the latest.

--- a/server/listeners.go
+++ b/server/listeners.go
@@ -82,8 +82,9 @@
 
 // httpListener is an HTTP server with one handler on one listener.
 type httpListener struct {
-	server *http.Server
-	done   chan struct{}
+	server   *http.Server
+	listener *drainListener
+	done     chan struct{}
 }
 
 func serveHTTP(ln net.Listener, h http.Handler, cfg *tls.Config) *httpListener {
@@ -95,8 +96,10 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 			TLSConfig:         cfg,
 		},
-		done: make(chan struct{}),
+		listener: newDrainListener(ln),
+		done:     make(chan struct{}),
 	}
+	ln = l.listener
 	if cfg != nil {
 		ln = tls.NewListener(ln, cfg)
 	}
@@ -107,8 +110,10 @@
 	return l
 }
 
-// stop closes the listener and the idle connections, and waits for the requests in progress until ctx ends.
+// stop accepts the connections that wait, closes the listener and the idle connections, and waits for the requests in
+// progress until ctx ends.
 func (l *httpListener) stop(ctx context.Context) error {
+	l.listener.drain(l.done)
 	err := l.server.Shutdown(ctx)
 	if err != nil {
 		_ = l.server.Close()
