Check only limits that a target really states, and share two pieces of code

Cause: the check, not the program. Its plan states "-1" and then "10.3" at one target. The emulated target took -1 for a limit, and the time since "-1" for the time since which a limit is stated, so that the rule was applied to requests before 10.3 was ever stated. A negative number is no number of requests, and hosts ignore it.

Change: only a finite number of at least zero counts, and its time begins with the first such text; the check is as strict as before for every limit that a target states. TestArrivalsTellOnlyWhatLimits fails before and passes now.

Besides, one comparison of limits instead of three (issuer.EqualLimits), and TestKeysStayWhereLoadsDifferByChance uses the loop of TestKeysLeaveATargetWithALimit, with the same draws and bound.

--- a/dispatcher/lane.go
+++ b/dispatcher/lane.go
@@ -10,6 +10,7 @@
 
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/issuer"
 	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/quarantiner"
@@ -186,7 +187,7 @@
 	if unreadable {
 		return l.rate.limit, false
 	}
-	if !equal(limit, l.rate.limit) {
+	if !issuer.EqualLimits(limit, l.rate.limit) {
 		counters.Add("limitChanges", 1)
 		l.rate.set(limit)
 		l.admitWaiters()
--- a/dispatcher/rate.go
+++ b/dispatcher/rate.go
@@ -52,17 +52,13 @@
 // logDue reports whether the limit is to be logged: it differs from the last logged one, and the last line is not too
 // recent.
 func (r *rateLimit) logDue() bool {
-	if equal(r.limit, r.logged) || time.Since(r.loggedAt) < limitLogInterval {
+	if issuer.EqualLimits(r.limit, r.logged) || time.Since(r.loggedAt) < limitLogInterval {
 		return false
 	}
 	r.logged, r.loggedAt = r.limit, time.Now()
 	return true
 }
 
-func equal(a, b *float64) bool {
-	return a == b || a != nil && b != nil && *a == *b
-}
-
 // maxRate is the greatest number of requests per second that a bucket is made for; no host sends as many.
 const maxRate = 1e6
 
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -233,7 +233,7 @@
 			n++
 			sum += *t.limit
 		}
-		if equal(known.Limit, t.limit) {
+		if EqualLimits(known.Limit, t.limit) {
 			if t.limit == nil && now.Sub(t.heardAt) > settleTime {
 				delete(s.targets, inc)
 			}
@@ -264,7 +264,8 @@
 	}
 }
 
-func equal(a, b *float64) bool {
+// EqualLimits reports whether two limits are the same; nil stands for none.
+func EqualLimits(a, b *float64) bool {
 	return a == b || a != nil && b != nil && *a == *b
 }
 
--- a/lessor/plan_test.go
+++ b/lessor/plan_test.go
@@ -263,24 +263,7 @@
 			Slowness:    1,
 		}})
 	}
-	rng := rand.New(rand.NewPCG(3, 4))
-	moves := 0
-	for range 200 {
-		p.now = p.now.Add(50 * time.Millisecond)
-		for range perSecond / 20 {
-			p.e.Add(p.now, uint16(rng.IntN(estimator.Keys)), serviceTime)
-		}
-		e := p.tick()
-		for _, call := range e.Calls {
-			p.answer(call)
-		}
-		for _, change := range e.Changes {
-			if change.Release != nil {
-				moves += len(change.Release.Spans)
-			}
-			p.commit(change)
-		}
-	}
+	_, moves := p.runAtRandom(rand.New(rand.NewPCG(3, 4)), 10*time.Second, perSecond, serviceTime)
 	// One target in twenty may look busy by chance at any time, in ten seconds.
 	c.Assert(moves <= targets/20, qt.IsTrue, qt.Commentf("%d moves", moves))
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -119,7 +119,7 @@
 				Incarnation: inc,
 				Limit:       tc.view,
 			})
-			c.Assert(equal(got, tc.want), qt.IsTrue, qt.Commentf("%v", Text(got)))
+			c.Assert(issuer.EqualLimits(got, tc.want), qt.IsTrue, qt.Commentf("%v", Text(got)))
 		})
 	}
 }
--- a/limiter/stated.go
+++ b/limiter/stated.go
@@ -102,17 +102,13 @@
 
 // logChange logs the limit of st if it differs from the last logged one and the last line is not too recent.
 func (l *Limiter) logChange(now time.Time, st *target, inc registrar.Incarnation, service string) {
-	if equal(st.stated, st.logged) || now.Sub(st.loggedAt) < logInterval {
+	if issuer.EqualLimits(st.stated, st.logged) || now.Sub(st.loggedAt) < logInterval {
 		return
 	}
 	l.opts.Log.Info("limit of target", "target", inc.ID, "service", service, "limit", Text(st.stated), "before", Text(st.logged))
 	st.logged, st.loggedAt = st.stated, now
 }
 
-func equal(a, b *float64) bool {
-	return a == b || a != nil && b != nil && *a == *b
-}
-
 // Text returns a limit for a log line.
 func Text(limit *float64) any {
 	if limit == nil {
--- a/platformemulator/platformemulator.go
+++ b/platformemulator/platformemulator.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -98,8 +99,10 @@
 	running   int
 	held      []heldSpan
 	runCounts map[string]int
-	// limit is the limit that answers state, empty for none, and limitSince the time since which they state any.
-	limit      string
+	// limitText is the text of the limit in answers, empty for none. If it is a limit, limit is its value and limitSince the
+	// time since which answers state one.
+	limitText  string
+	limit      float64
 	limitSince time.Time
 
 	ctx    context.Context
@@ -304,34 +307,34 @@
 func (e *Emulator) SetLimit(text string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.limitText = text
+	n, err := strconv.ParseFloat(text, 64)
 	switch {
-	case text == "":
-		e.limitSince = time.Time{}
-	case e.limit == "":
+	case err != nil || !(n >= 0) || math.IsInf(n, 0):
+		// Such a text limits nothing.
+		e.limit, e.limitSince = 0, time.Time{}
+		return
+	case e.limitSince.IsZero():
 		e.limitSince = time.Now()
 	}
-	e.limit = text
+	e.limit = n
 }
 
 // arrive reports the arrival of a request and states the limit in its answer.
 func (e *Emulator) arrive(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.limit != "" {
-		platform.Counterpart{}.Limit(w.Header(), e.limit)
-	}
-	if e.opts.OnArrival == nil {
-		return
-	}
-	m := ArrivalMsg{
-		Target: e.opts.ID,
-		At:     time.Now(),
-	}
-	// A text that is not a number limits nothing.
-	if n, err := strconv.ParseFloat(e.limit, 64); err == nil {
-		m.Limit, m.LimitSince = n, e.limitSince
+	if e.limitText != "" {
+		platform.Counterpart{}.Limit(w.Header(), e.limitText)
+	}
+	if e.opts.OnArrival != nil {
+		e.opts.OnArrival(ArrivalMsg{
+			Target:     e.opts.ID,
+			At:         time.Now(),
+			Limit:      e.limit,
+			LimitSince: e.limitSince,
+		})
 	}
-	e.opts.OnArrival(m)
 }
 
 // SetEndlessBodies switches whether the target sends bodies without end instead of its usual answers.
--- a/platformemulator/platformemulator_test.go
+++ b/platformemulator/platformemulator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -74,3 +75,31 @@
 		"r2": 1,
 	})
 }
+
+// Guards against a check of limits that takes an absurd text for one, or counts the time of such a text to the limit after
+// it.
+func TestArrivalsTellOnlyWhatLimits(t *testing.T) {
+	c := qt.New(t)
+	var got ArrivalMsg
+	m := New(Options{
+		ID:        "i-1",
+		Service:   "tally",
+		Controls:  []string{"http://127.0.0.1:1"},
+		OnArrival: func(a ArrivalMsg) { got = a },
+	})
+	arrive := func(text string) ArrivalMsg {
+		m.SetLimit(text)
+		w := httptest.NewRecorder()
+		m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		return got
+	}
+	for _, text := range []string{"", "-1", "NaN", "Inf", "6.3.1", "much"} {
+		c.Assert(arrive(text).LimitSince.IsZero(), qt.IsTrue, qt.Commentf("%q", text))
+	}
+	first := arrive("10.3")
+	c.Assert(first.Limit, qt.Equals, 10.3)
+	c.Assert(time.Since(first.LimitSince) < time.Minute, qt.IsTrue)
+	second := arrive("0")
+	c.Assert(second.Limit, qt.Equals, 0.0)
+	c.Assert(second.LimitSince.Equal(first.LimitSince), qt.IsTrue)
+}
