--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -67,10 +67,10 @@
 	// minScanInterval and maxScanInterval are the least and the greatest time between two scans of all ranges of a
 	// service. A scan takes 1 ms at 3,200 ranges.
 	minScanInterval = 15 * time.Millisecond
+	maxScanInterval = 100 * time.Millisecond
 	// limitUtilization is the share of its limit that a target with one gets in keys. The rest is for requests that arrive
 	// close to each other: most of them would have to be refused without it.
 	limitUtilization = 0.7
-	maxScanInterval  = 100 * time.Millisecond
 )
 
 // Settings configure a Lessor.
