Reject numbers in host settings that are no numbers

What operators saw: a host starts with hostLosses = 1.5, which counts as 1, or with NaN or Inf as a share, and behaves as nobody meant.

Cause: readNumber compared with zero only, which NaN and Inf pass, and hostLosses was cut to a whole number.

Change: findings with file and line, "wants a number from 0" and "wants a whole number from 0".

Measured: five new cases of TestDirectSettingsWithFaults fail before and pass now (one run of the package).

--- a/settingsreader/direct.go
+++ b/settingsreader/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -93,7 +94,7 @@
 		Metrics:    r.readListenAddr("metrics", false, true),
 		Seeds:      r.readSeeds(),
 		Bootstrap:  r.readChoice("direct", "found", "false", "true", "false") == "true",
-		HostLosses: int(r.readNumber("direct", "hostLosses", 1)),
+		HostLosses: r.readCount("direct", "hostLosses", 1),
 		Memory:     int64(r.readNumber("host", "memory", 0) * (1 << 20)),
 		Hold:       r.readDuration("hold", defaultHold),
 		DrainTime:  r.readDuration("drainTime", defaultDrainTime),
@@ -150,13 +151,28 @@
 		return defaultValue
 	}
 	n, err := strconv.ParseFloat(v, 64)
-	if err != nil || n < 0 {
+	// ParseFloat reads NaN and infinities as well.
+	if err != nil || !(n >= 0) || math.IsInf(n, 0) {
 		r.addFinding(section, name, "%s = %s: wants a number from 0", name, v)
 		return defaultValue
 	}
 	return n
 }
 
+// readCount reads a whole number that is not negative, or returns defaultValue if it is missing or wrong.
+func (r *reader) readCount(section, name string, defaultValue int) int {
+	v, ok := r.value(section, name)
+	if !ok {
+		return defaultValue
+	}
+	n, err := strconv.ParseUint(v, 10, 31)
+	if err != nil {
+		r.addFinding(section, name, "%s = %s: wants a whole number from 0", name, v)
+		return defaultValue
+	}
+	return int(n)
+}
+
 // readDuration reads a positive duration of section [direct], or returns defaultValue if it is missing or wrong.
 func (r *reader) readDuration(name string, defaultValue time.Duration) time.Duration {
 	v, ok := r.value("direct", name)
--- a/settingsreader/direct_test.go
+++ b/settingsreader/direct_test.go
@@ -72,6 +72,11 @@
 		{"found = true", "found = maybe"}:               "18: found = maybe: wants one of true, false",
 		{"roles = entry", "roles = control"}:            "1: role control needs dataFolder, which holds the log",
 		{"roles = entry", "roles = entry, control"}:     "4: a host with direct dispatch has one role, entry or control",
+		{"hostLosses = 1", "hostLosses = 1.5"}:          "19: hostLosses = 1.5: wants a whole number from 0",
+		{"hostLosses = 1", "hostLosses = NaN"}:          "19: hostLosses = NaN: wants a whole number from 0",
+		{"hostLosses = 1", "hostLosses = 1e300"}:        "19: hostLosses = 1e300: wants a whole number from 0",
+		{"retryShare = 0.2", "retryShare = NaN"}:        "21: retryShare = NaN: wants a number from 0",
+		{"retryShare = 0.2", "retryShare = Inf"}:        "21: retryShare = Inf: wants a number from 0",
 		{"hostLosses = 1", "losses = 1"}:                "19: unknown setting losses in section [direct], known are " + strings.Join(knownDirectSettings()["direct"], ", "),
 		{"[direct]", "[other]"}:                         "16: unknown section [other], known are [host], [listen], [direct], [keys] and [network]",
 	} {
