Compare fences with those before each change in the test of ranges

TestRangesStayWholeAndFencesRise compared the fences of the last state with zero, so it found no fence that falls. It now checks after each change that the ranges cover all keys, that no fence has fallen, and that a key with another owner has a higher one.

--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -84,14 +84,37 @@
 	c.Assert(r.Table.Version, qt.Equals, uint64(9))
 }
 
-// Guards against ranges that overlap or leave gaps and against fences that fall, after random changes; and against a
-// snapshot that differs from the state.
+// keyFences holds the fence and the owner of each key after the changes so far.
+type keyFences struct {
+	fences [1 << 16]uint64
+	owners [1 << 16]Incarnation
+}
+
+// check checks that the ranges of r cover all keys once, that no fence has fallen since the last call, and that each key
+// with another owner has a higher one.
+func (k *keyFences) check(c *qt.C, r Registry) {
+	next := 0
+	for _, rg := range r.RangeList("tally") {
+		c.Assert(int(rg.From), qt.Equals, next)
+		next = int(rg.To) + 1
+		for key := int(rg.From); key <= int(rg.To); key++ {
+			if rg.Fence < k.fences[key] || rg.Owner != k.owners[key] && rg.Fence == k.fences[key] {
+				c.Fatalf("key %d of %s has fence %d after %d of %s", key, rg.Owner.ID, rg.Fence, k.fences[key], k.owners[key].ID)
+			}
+			k.fences[key], k.owners[key] = rg.Fence, rg.Owner
+		}
+	}
+	c.Assert(next, qt.Equals, 1<<16)
+}
+
+// Guards against ranges that overlap or leave gaps and against fences that fall, after each of a number of random changes;
+// and against a snapshot that differs from the state.
 func TestRangesStayWholeAndFencesRise(t *testing.T) {
 	c := qt.New(t)
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 20 {
 		var r Registry
-		fences := make([]uint64, 1<<16)
+		var fences keyFences
 		for id := range 3 {
 			r = r.Announce(1, target(fmt.Sprint(id), 1, uint16(81+id), 1))
 		}
@@ -101,6 +124,7 @@
 			Owner: target("a", 1, 80, 1).Incarnation,
 		}})
 		for index := uint64(2); index < 60; index++ {
+			fences.check(c, r)
 			from := uint16(rng.IntN(1 << 16))
 			to := from + uint16(rng.IntN(int(65535-from)+1))
 			if rng.IntN(10) == 0 {
@@ -120,16 +144,7 @@
 				Owner: target(fmt.Sprint(rng.IntN(5)), 1, 80, 1).Incarnation,
 			}})
 		}
-		next := 0
-		for _, rg := range r.RangeList("tally") {
-			c.Assert(int(rg.From), qt.Equals, next)
-			next = int(rg.To) + 1
-			for k := int(rg.From); k <= int(rg.To); k++ {
-				c.Assert(rg.Fence >= fences[k], qt.IsTrue)
-				fences[k] = rg.Fence
-			}
-		}
-		c.Assert(next, qt.Equals, 1<<16)
+		fences.check(c, r)
 		b, err := cbor.Marshal(r.ToWire())
 		c.Assert(err, qt.IsNil)
 		var w Wire
