Send a foreign data centre in the test of heartbeats

The case for a target of another data centre sent malformed JSON, so any check could be missing. It is now three cases: another data centre, none, and malformed JSON. With the comparison of data centres taken out, the test passed before and fails now; the package passes as it is.

--- a/tracker/handler_test.go
+++ b/tracker/handler_test.go
@@ -42,7 +42,9 @@
 	for body, want := range map[string]int{
 		strings.Replace(valid, `"name"`, `"nane"`, 1):                                     http.StatusBadRequest,
 		strings.Replace(valid, `"warm"`, `"hot"`, 1):                                      http.StatusBadRequest,
-		strings.Replace(valid, `"dataCentre":"a"`, "", 1):                                 http.StatusBadRequest,
+		strings.Replace(valid, `"dataCentre":"a"`, `"dataCentre":"b"`, 1):                 http.StatusBadRequest,
+		strings.Replace(valid, `"dataCentre":"a",`, "", 1):                                http.StatusBadRequest,
+		strings.Replace(valid, `"dataCentre":"a",`, ",", 1):                               http.StatusBadRequest,
 		strings.Replace(valid, `127.0.0.1:80`, `localhost`, 1):                            http.StatusBadRequest,
 		strings.Replace(valid, `"t1"`, `"`+strings.Repeat("x", maxHeartbeatBytes)+`"`, 1): http.StatusBadRequest,
 	} {
