Tell a control host that joins who leads

Callers and operators see a control host that answers 503 for ever, and the group has one disk less than it counts on.

Cause: the host had lost its disk and knew only its three seeds. The control host that led was not one of them. Leader.Join fails on a host that does not lead and meant to say who does, but net/rpc does not send a reply beside an error. So the host asked its seeds again and again: it logs no `member joined` in 25 s.

Change: a host that does not lead answers without an error, with the name and the address of the leader, and the host that joins asks there. A failure to add remains an error.

--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -23,10 +23,12 @@
 	Addr string
 }
 
-// JoinReply is the answer of Leader.Join. Leader is the name of the leader, if it is another host.
+// JoinReply is the answer of Leader.Join. If another host leads, Leader is its name and LeaderAddr its rpc address; both are
+// empty if no leader is known.
 type JoinReply struct {
-	Joined bool
-	Leader string
+	Joined     bool
+	Leader     string
+	LeaderAddr string
 }
 
 // ObserveArgs are the arguments of Leader.Observe.
@@ -57,7 +59,8 @@
 	})
 }
 
-// Join adds a host to the control group as a learner, unless it is already a member.
+// Join adds a host to the control group as a learner, unless it is already a member. A host that does not lead tells who
+// does.
 func (s *leaderService) Join(args *JoinArgs, reply *JoinReply) error {
 	c := s.coordinator.opts.Controller
 	for _, m := range c.Members() {
@@ -73,8 +76,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
 	if err := c.AddLearner(ctx, args.Name, addr); err != nil {
+		if !errors.Is(err, controller.ErrNotLeader) {
+			return errors.Wrap(err, "add learner")
+		}
+		// A reply does not reach the caller beside an error.
 		reply.Leader, _ = c.Contact()
-		return errors.Wrap(err, "add learner")
+		if leader := c.State().Hosts[reply.Leader].RPC; leader.IsValid() {
+			reply.LeaderAddr = leader.String()
+		}
+		return nil
 	}
 	s.coordinator.opts.Log.Info("member joined", "member", args.Name, "addr", args.Addr)
 	reply.Joined = true
--- a/director/control.go
+++ b/director/control.go
@@ -212,16 +212,28 @@
 }
 
 // requestJoin asks the host at addr to add this one to the control group, and reports whether it is a member there. Only
-// the leader can add a host.
+// the leader can add a host; another one tells who leads.
 func (c *control) requestJoin(addr netip.AddrPort) bool {
+	reply := c.callJoin(addr)
+	if reply.Joined || reply.LeaderAddr == "" {
+		return reply.Joined
+	}
+	leader, err := netip.ParseAddrPort(reply.LeaderAddr)
+	return err == nil && c.callJoin(leader).Joined
+}
+
+// callJoin requests of one host that this host be added. The answer is the zero value if there was none.
+func (c *control) callJoin(addr netip.AddrPort) coordinator.JoinReply {
 	ctx, cancel := context.WithTimeout(c.d.ctx, joinTimeout)
 	defer cancel()
 	var reply coordinator.JoinReply
-	err := c.d.messenger.Call(ctx, addr, "Leader.Join", &coordinator.JoinArgs{
+	if err := c.d.messenger.Call(ctx, addr, "Leader.Join", &coordinator.JoinArgs{
 		Name: c.name,
 		Addr: c.d.settings.Listen.RPC.String(),
-	}, &reply)
-	return err == nil && reply.Joined
+	}, &reply); err != nil {
+		return coordinator.JoinReply{}
+	}
+	return reply
 }
 
 func (c *control) stop() {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -115,6 +115,8 @@
 	10,
 	// A target that stated a limit got more requests than that from all hosts together.
 	2,
+	// A control host that had lost its disk never joined the control group, since none of its seeds led.
+	335,
 	// A new control host had no address of the leader, which had lost its own disk before, and so never caught up.
 	13,
 }
