--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -134,16 +136,39 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			var text strings.Builder
+			folder := t.TempDir()
 			err := New(Options{
 				Seed:    seed,
 				For:     20 * time.Second,
 				Hosts:   4,
 				Targets: 8,
 				Binary:  binary,
-				Folder:  t.TempDir(),
+				Folder:  folder,
 				Out:     &text,
 			}).Run(context.Background())
 			qt.Check(t, err, qt.IsNil, qt.Commentf("%s", text.String()))
+			if err != nil {
+				logHosts(t, folder)
+			}
 		})
 	}
 }
+
+// logHosts logs what the hosts wrote, without the lines on single requests, and at most maxLoggedLines of each host.
+func logHosts(t *testing.T, folder string) {
+	const maxLoggedLines = 150
+	files, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	qt.Assert(t, err, qt.IsNil)
+	perRequest := regexp.MustCompile(`msg=("request failed"|answered|attempt|"order refused"|"call at target failed")`)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		var lines []string
+		for line := range strings.Lines(string(text)) {
+			if !perRequest.MatchString(line) {
+				lines = append(lines, line)
+			}
+		}
+		t.Logf("%s:\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-maxLoggedLines):], ""))
+	}
+}
