Do not refuse requests that can wait because others cannot

What callers saw: refusals at a target with a limit although their request could have waited for a token.

Cause: the leader stopped at the first token that it refused, so all requests after it in one question were refused, also those that can wait longer. And after a refusal the host refused the whole class without asking for as long as the request that could wait least would have had to wait.

Change: the answer holds a delay or a refusal for each token that was asked for. The host remembers when there may be a token again, and refuses without asking just the requests that cannot wait until then.

--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -41,6 +41,9 @@
 	maxChanges = 256
 )
 
+// Refused stands for the delay of a token that is not issued.
+const Refused time.Duration = -1
+
 var counters = expvar.NewMap("issuer")
 
 // limitedTargets is the number of targets with a limit, and limitSum the sum of their limits in requests per second.
@@ -78,8 +81,7 @@
 
 // IssueMsg is the answer to AskMsg.
 type IssueMsg struct {
-	// Delays holds, for each of the first tokens that were asked for, the time after which it may be used. The others are
-	// refused.
+	// Delays holds, for each token that was asked for, the time after which it may be used, or Refused.
 	Delays []time.Duration
 	// Wait is the time until there may be a token again, and Spread the time over which further refused requests would get
 	// theirs.
@@ -91,7 +93,7 @@
 type Issuer struct {
 	mu      sync.Mutex
 	targets map[registrar.Incarnation]*target
-	// seen are the targets of the registry at the last call of Changes.
+	// seen are the targets of the registry whose limits are in targets.
 	seen registrar.Pool
 }
 
@@ -182,16 +184,18 @@
 		}
 	}
 	var reply IssueMsg
+	issued := 0
 	for _, maxDelay := range m.MaxDelays {
 		r := t.bucket.ReserveN(now, 1)
 		delay := r.DelayFrom(now)
 		if delay > maxDelay {
 			r.CancelAt(now)
-			break
+			delay = Refused
+		} else {
+			issued++
 		}
 		reply.Delays = append(reply.Delays, delay)
 	}
-	issued := len(reply.Delays)
 	counters.Add("issued", int64(issued))
 	counters.Add("refused", int64(len(m.MaxDelays)-issued))
 	t.addRefused(now, m.Refused+len(m.MaxDelays)-issued)
--- a/issuer/issuer_test.go
+++ b/issuer/issuer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,11 @@
 	}
 }
 
+// issued returns the delays of the tokens in m that are issued.
+func issued(m IssueMsg) []time.Duration {
+	return slices.DeleteFunc(m.Delays, func(d time.Duration) bool { return d == Refused })
+}
+
 // Guards against more tokens than the limit allows in any 4 s, at few and many hosts, with traffic that sits at one host or
 // moves, while leaders follow each other and the limit rises and falls.
 func TestTokensStayWithinTheLimit(t *testing.T) {
@@ -84,7 +90,7 @@
 					for i := range m.MaxDelays {
 						m.MaxDelays[i] = time.Duration(rng.Int64N(int64(200 * time.Millisecond)))
 					}
-					for _, delay := range s.Issue(at, registry(nil), m).Delays {
+					for _, delay := range issued(s.Issue(at, registry(nil), m)) {
 						used = append(used, at.Add(delay))
 					}
 					n := 0
@@ -105,10 +111,10 @@
 func TestNewLeaderBeginsWithoutTokens(t *testing.T) {
 	c := qt.New(t)
 	var s Issuer
-	c.Assert(s.Issue(start, registry(nil), ask(number(6), 10)).Delays, qt.HasLen, 0)
-	c.Assert(len(s.Issue(start.Add(10*time.Second), registry(nil), ask(number(6), 10)).Delays) > 0, qt.IsTrue)
+	c.Assert(issued(s.Issue(start, registry(nil), ask(number(6), 10))), qt.HasLen, 0)
+	c.Assert(len(issued(s.Issue(start.Add(10*time.Second), registry(nil), ask(number(6), 10)))) > 0, qt.IsTrue)
 	s.Reset()
-	c.Assert(s.Issue(start.Add(20*time.Second), registry(nil), ask(number(6), 10)).Delays, qt.HasLen, 0)
+	c.Assert(issued(s.Issue(start.Add(20*time.Second), registry(nil), ask(number(6), 10))), qt.HasLen, 0)
 }
 
 // Guards against a leader that ignores a limit which it knows only from the registry.
@@ -121,9 +127,9 @@
 		},
 		MaxDelays: make([]time.Duration, 10),
 	}
-	c.Assert(s.Issue(start, registry(number(6)), m).Delays, qt.HasLen, 0)
+	c.Assert(issued(s.Issue(start, registry(number(6)), m)), qt.HasLen, 0)
 	var without Issuer
-	c.Assert(without.Issue(start, registry(nil), m).Delays, qt.HasLen, 10)
+	c.Assert(issued(without.Issue(start, registry(nil), m)), qt.HasLen, 10)
 }
 
 // Guards against a less urgent request that takes the token for which an urgent one can wait.
@@ -135,7 +141,7 @@
 		for _, maxDelay := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
 			m := ask(number(8), 0)
 			m.MaxDelays = []time.Duration{maxDelay}
-			counts[maxDelay] += len(s.Issue(at, registry(nil), m).Delays)
+			counts[maxDelay] += len(issued(s.Issue(at, registry(nil), m)))
 		}
 	}
 	c.Assert(counts[400*time.Millisecond] > 10*counts[100*time.Millisecond], qt.IsTrue, qt.Commentf("%v", counts))
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -26,7 +26,7 @@
 			l.mu.Unlock()
 			return
 		}
-		slices.SortStableFunc(waiters, func(a, b *waiter) int { return index(b.request.Urgent) - index(a.request.Urgent) })
+		slices.SortStableFunc(waiters, urgentFirst)
 		m := issuer.AskMsg{
 			StatedMsg: st.message(l.now(), inc),
 			Heard:     !st.heardAt.IsZero(),
@@ -62,9 +62,9 @@
 		l.unreachableUntil = now.Add(askBackoff)
 	}
 	st.spread = reply.Spread
+	st.nextTokenAt = now.Add(min(maxPause, reply.Wait))
 	for i, w := range waiters {
-		if i >= len(reply.Delays) {
-			st.pause(now.Add(min(maxPause, reply.Wait-w.request.MaxDelay)), w.request.Urgent)
+		if i >= len(reply.Delays) || reply.Delays[i] < 0 {
 			counters.Add("refusals", 1)
 			w.result <- st.refusal(reply.Wait)
 			continue
@@ -77,10 +77,14 @@
 	}
 }
 
-// pause refuses requests that are no more urgent without asking until a time.
-func (st *target) pause(until time.Time, urgent bool) {
-	st.pausedUntil[index(false)] = until
-	if urgent {
-		st.pausedUntil[index(true)] = until
+// urgentFirst orders waiters for slices.SortStableFunc.
+func urgentFirst(a, b *waiter) int {
+	switch {
+	case a.request.Urgent == b.request.Urgent:
+		return 0
+	case a.request.Urgent:
+		return -1
+	default:
+		return 1
 	}
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -38,7 +38,7 @@
 	askTimeout = 500 * time.Millisecond
 	// maxWaiters bounds the requests that wait for tokens of one target.
 	maxWaiters = 64
-	// maxPause bounds the time for which requests are refused without asking, so that a limit that rises is noticed.
+	// maxPause bounds the time for which requests are refused without asking, so that a limit that rises takes effect.
 	maxPause = time.Second
 	// maxLimit is the greatest number of requests per second that counts as a limit.
 	maxLimit = 1e6
@@ -90,9 +90,9 @@
 	// waiters wait for tokens. asking says that a goroutine asks for them.
 	waiters []*waiter
 	asking  bool
-	// pausedUntil is until when nobody asks, by whether the request is urgent, since there were no tokens. spread is the time
-	// over which refused requests shall return, refused their number since the last question.
-	pausedUntil [2]time.Time
+	// nextTokenAt is when there may be a token again; a request that cannot wait until then is refused without asking. spread
+	// is the time over which refused requests shall return, refused their number since the last question.
+	nextTokenAt time.Time
 	spread      time.Duration
 	refused     int
 	// loggedAt is when a change was last logged, and logged the limit that was logged then.
@@ -147,14 +147,11 @@
 		l.mu.Unlock()
 		return nil
 	}
-	pausedUntil := st.pausedUntil[index(r.Urgent)]
-	if pausedUntil.Before(l.unreachableUntil) {
-		pausedUntil = l.unreachableUntil
-	}
-	if l.opts.Ask == nil || now.Before(pausedUntil) || len(st.waiters) >= maxWaiters {
+	if l.opts.Ask == nil || now.Before(l.unreachableUntil) || now.Add(r.MaxDelay).Before(st.nextTokenAt) ||
+		len(st.waiters) >= maxWaiters {
 		st.refused++
 		counters.Add("refusals", 1)
-		refusal := st.refusal(max(0, pausedUntil.Sub(now)))
+		refusal := st.refusal(max(0, l.unreachableUntil.Sub(now), st.nextTokenAt.Sub(now)))
 		l.mu.Unlock()
 		return refusal
 	}
@@ -242,13 +239,6 @@
 	}
 }
 
-func index(urgent bool) int {
-	if urgent {
-		return 1
-	}
-	return 0
-}
-
 func (l *Limiter) add(inc registrar.Incarnation) *target {
 	st := &target{}
 	l.targets[inc] = st
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -15,6 +15,7 @@
 
 	"bramleyline.example/bramleyline/issuer"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/timekeeper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -220,10 +221,17 @@
 		mu.Lock()
 		defer mu.Unlock()
 		asked = append(asked, m)
-		return issuer.IssueMsg{
-			Delays: make([]time.Duration, min(2, len(m.MaxDelays))),
-			Wait:   100 * time.Millisecond,
-		}, nil
+		reply := issuer.IssueMsg{
+			Wait: 100 * time.Millisecond,
+		}
+		for i := range m.MaxDelays {
+			delay := time.Duration(0)
+			if i >= 2 {
+				delay = issuer.Refused
+			}
+			reply.Delays = append(reply.Delays, delay)
+		}
+		return reply, nil
 	}
 	tg := &viewer.Target{
 		Incarnation: incarnation("i-1"),
@@ -304,3 +312,31 @@
 		})
 	}
 }
+
+// Guards against a request that can wait for a token and is refused because another one could not wait, be it asked for
+// together with it or before it.
+func TestRequestsThatCanWaitAreNotRefusedWithOthers(t *testing.T) {
+	c := qt.New(t)
+	l := newLimiter(1, 0, &bytes.Buffer{})
+	s := newSimulation(1, 1, 6)
+	l.opts.Ask = func(_ context.Context, m issuer.AskMsg) (issuer.IssueMsg, error) {
+		return s.issuer.Issue(timekeeper.Now(), s.registry, m), nil
+	}
+	tg := &viewer.Target{
+		Incarnation: incarnation("i-1"),
+		Limit:       stated(6),
+	}
+	// The bucket is empty at first, and a token takes a quarter of a second.
+	c.Assert(l.Take(c.Context(), tg, Request{Urgent: true}), qt.IsNotNil)
+	c.Assert(l.Take(c.Context(), tg, Request{MaxDelay: time.Second}), qt.IsNil)
+
+	m := issuer.AskMsg{
+		StatedMsg: issuer.StatedMsg{
+			Target: tg.Incarnation,
+		},
+		MaxDelays: []time.Duration{0, 2 * time.Second},
+	}
+	reply := s.issuer.Issue(timekeeper.Now(), s.registry, m)
+	c.Assert(reply.Delays, qt.HasLen, 2)
+	c.Assert(reply.Delays[0] < 0 && reply.Delays[1] >= 0, qt.IsTrue, qt.Commentf("%v", reply.Delays))
+}
