--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -53,7 +53,11 @@
 // quarantined reports whether the request must be refused because targets were lost while they ran it.
 func (x *exchange) quarantined() bool {
 	q := x.f.opts.Quarantiner
-	return q != nil && q.MustRefuse(x.quarantineRequest(), crashLimit, quarantineTime, time.Now())
+	if q == nil || !q.MustRefuse(x.quarantineRequest(), crashLimit, quarantineTime, time.Now()) {
+		return false
+	}
+	x.f.opts.Log.Info("request in quarantine", "request", x.call.ID, "fingerprint", x.fingerprint, "service", x.service.Name)
+	return true
 }
 
 // trackAttempt reports to the quarantiner that the request is sent to t. The returned function records the end of the
@@ -74,6 +78,8 @@
 		case f.MayHaveRun:
 			tracker.Interrupted(run, f.Severed, time.Now())
 			if f.Severed && !listens(t) {
+				x.f.opts.Log.Info("target lost while it ran a request", "request", x.call.ID, "fingerprint", x.fingerprint,
+					"target", t.ID, "service", x.service.Name)
 				q.Lost(x.service.Name, t.ID, incarnation, time.Now())
 			}
 		default:
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -6,6 +6,7 @@
 package quarantiner
 
 import (
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,11 @@
 	"bramleyline.example/bramleyline/reporter"
 )
 
+// counters are losses (counted by this host), receivedLosses (that other hosts reported), clearedRecords (records with
+// losses whose request then completed), omittedReports (records that did not fit into a report) and expiredRuns (requests
+// without an answer that were dropped without a verdict on their target).
+var counters = expvar.NewMap("quarantine")
+
 const (
 	// maxRecords bounds the suspect records of a host. With up to 64 requests in progress at each of 20 targets, the loss
 	// of 8 hosts with all of their targets leaves about as many.
@@ -159,6 +165,11 @@
 	if r.cleared {
 		r.cleared, r.crashes, crashes = false, 0, min(crashes, 1)
 	}
+	if crashes > 0 {
+		counters.Add("receivedLosses", 1)
+	} else {
+		counters.Add("losses", 1)
+	}
 	r.losses = append(r.losses, id)
 	if len(r.losses) > maxLosses {
 		r.losses = r.losses[1:]
@@ -229,6 +240,9 @@
 		return
 	}
 	q.mu.Lock()
+	if !r.cleared {
+		counters.Add("clearedRecords", 1)
+	}
 	r.cleared, r.crashes = true, 0
 	q.mu.Unlock()
 }
@@ -242,11 +256,15 @@
 	q.mu.RLock()
 	defer q.mu.RUnlock()
 	var msgs []reporter.SuspectMsg
-	for i := len(q.order) - 1; i >= 0 && len(msgs) < maxReported; i-- {
+	for i := len(q.order) - 1; i >= 0; i-- {
 		r := q.order[i]
 		if r.cleared || r.crashes == 0 || now.Sub(r.lastLoss) > reportDuration {
 			continue
 		}
+		if len(msgs) == maxReported {
+			counters.Add("omittedReports", 1)
+			continue
+		}
 		last := r.losses[len(r.losses)-1]
 		msgs = append(msgs, reporter.SuspectMsg{
 			Service:     r.request.Service,
--- a/quarantiner/runtracker.go
+++ b/quarantiner/runtracker.go
@@ -100,6 +100,9 @@
 		if ok && !r.expired(now) && len(t.ended) <= maxEnded {
 			return
 		}
+		if ok {
+			counters.Add("expiredRuns", 1)
+		}
 		delete(t.runs, t.ended[0])
 		t.ended = t.ended[1:]
 	}
