--- a/platformemulator/platformemulator.go
+++ b/platformemulator/platformemulator.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +80,12 @@
 	OnRun func(RunMsg)
 	// OnDrained is called once, when a control host has acknowledged the drain; it may be nil.
 	OnDrained func(target string, at time.Time)
+	// PoisonPath is a part of the path of requests that crash the target when it begins to run them; empty for none.
+	// OnPoison is called when such a request arrives, crashed says that the target ends; it may be nil.
+	PoisonPath string
+	// RejectShare is the share of requests, from 0 to 1, that the target rejects as if it were full.
+	RejectShare float64
+	OnPoison    func(id string, at time.Time, crashed bool)
 }
 
 // Emulator is one incarnation of a target. Make it with New.
@@ -105,9 +113,10 @@
 	limit      float64
 	limitSince time.Time
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{}
+	crashOnce sync.Once
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
 	// endlessBodies says that the bodies of answers have no end.
 	endlessBodies atomic.Bool
 }
@@ -283,10 +292,26 @@
 		return
 	}
 	e.arrive(w)
+	poison := e.opts.PoisonPath != "" && strings.Contains(r.URL.Path, e.opts.PoisonPath)
+	if poison && e.opts.OnPoison != nil {
+		e.opts.OnPoison(req.ID, time.Now(), false)
+	}
+	if rand.Float64() < e.opts.RejectShare {
+		platform.Counterpart{}.Answer(w.Header(), req.ID, selector.Load{
+			Running: 4,
+			Waiting: 4,
+			Slots:   4,
+		}, true)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !e.admit(req) {
 		e.reject(w, req.ID)
 		return
 	}
+	if poison {
+		e.crash(req)
+	}
 	time.Sleep(e.opts.Work)
 	e.mu.Lock()
 	e.running--
@@ -303,6 +328,17 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", e.opts.ID, r.URL.Path, body)
 }
 
+// crash ends the target because of the request req, which gets no answer. It does not return.
+func (e *Emulator) crash(req platform.TargetRequest) {
+	e.crashOnce.Do(func() {
+		if e.opts.OnPoison != nil {
+			e.opts.OnPoison(req.ID, time.Now(), true)
+		}
+		go e.Close()
+	})
+	panic(http.ErrAbortHandler)
+}
+
 // SetLimit sets the limit that the answers state from now on, as the text of the header; empty for none.
 func (e *Emulator) SetLimit(text string) {
 	e.mu.Lock()
