Count crashes of a request across rejections

What callers saw: other requests lost with one target after the other, although all hosts had been told of the request that ended them. Cause: each answer of a target counted as complete, a rejection (503, 429, 421 'not run') and a server error too, and a complete answer clears the record of a request. After a crash the other targets are full and keys move, so rejections are most frequent then. Change: only an answer below 500 that is no rejection clears; an answer that may belong to another request counts as none. Why it works: a target that ran the request to a good end shows that it does not crash; a rejection shows nothing.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,10 +30,10 @@
 	sel.Begin(start, t.Incarnation)
 	defer func() { sel.End(time.Now(), t.Incarnation, res) }()
 
-	untrack := x.trackAttempt(t, start)
+	tracked := x.trackAttempt(t, start)
 	resp, body, fault := x.send(ctx, t, start)
-	untrack(fault)
 	if fault != nil {
+		tracked.failed(fault)
 		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
 		return nil, x.noAnswer(t, fault)
 	}
@@ -42,10 +42,12 @@
 	if !resp.Echoed {
 		// Even a rejection proves nothing here: it may be a late duplicate of the answer to another request on this
 		// connection.
+		tracked.crossed()
 		x.possibleRuns++
 		x.recordFailure(t, sender.ReasonCrossed, "answer has no identity")
 		return nil, x.route.Repeatable
 	}
+	tracked.answered(resp.Status, reply.NotRun)
 	x.observeLimit(t, reply)
 	if reply.NotRun {
 		res.Failed = !reply.Misdirected
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -60,34 +61,65 @@
 	return true
 }
 
-// trackAttempt reports to the quarantiner that the request is sent to t. The returned function records the end of the
-// attempt.
-func (x *exchange) trackAttempt(t *viewer.Target, start time.Time) func(f *sender.Fault) {
+// trackedAttempt is an attempt that the quarantiner tracks. Exactly one of its methods is called at its end. The zero value
+// tracks nothing.
+type trackedAttempt struct {
+	x       *exchange
+	target  *viewer.Target
+	tracker *quarantiner.RunTracker
+	run     uint64
+}
+
+// trackAttempt reports to the quarantiner that the request is sent to t.
+func (x *exchange) trackAttempt(t *viewer.Target, start time.Time) trackedAttempt {
 	q := x.f.opts.Quarantiner
 	if q == nil {
-		return func(*sender.Fault) {}
+		return trackedAttempt{}
+	}
+	tracker := q.Tracker(x.service.Name, t.ID, uint64(t.Born.UnixMilli()), start)
+	return trackedAttempt{
+		x:       x,
+		target:  t,
+		tracker: tracker,
+		run:     tracker.Begin(x.quarantineRequest()),
 	}
-	incarnation := uint64(t.Born.UnixMilli())
-	tracker := q.Tracker(x.service.Name, t.ID, incarnation, start)
-	req := x.quarantineRequest()
-	run := tracker.Begin(req)
-	return func(f *sender.Fault) {
-		switch {
-		case f == nil:
-			tracker.Completed(run, req)
-		case f.MayHaveRun:
-			tracker.Interrupted(run, f.Severed, time.Now())
-			if f.Severed && !listens(t) {
-				x.f.opts.Log.Info("target lost while it ran a request", "request", x.call.ID, "fingerprint", x.fingerprint,
-					"target", t.ID, "service", x.service.Name)
-				q.Lost(x.service.Name, t.ID, incarnation, time.Now())
-			}
-		default:
-			tracker.Remove(run)
+}
+
+// failed records the end of an attempt without an answer.
+func (a trackedAttempt) failed(f *sender.Fault) {
+	switch {
+	case a.tracker == nil:
+	case !f.MayHaveRun:
+		a.tracker.Remove(a.run)
+	default:
+		a.tracker.Interrupted(a.run, f.Severed, time.Now())
+		if f.Severed && !listens(a.target) {
+			a.x.f.opts.Log.Info("target lost while it ran a request", "request", a.x.call.ID, "fingerprint", a.x.fingerprint,
+				"target", a.target.ID, "service", a.x.service.Name)
+			a.x.f.opts.Quarantiner.Lost(a.x.service.Name, a.target.ID, uint64(a.target.Born.UnixMilli()), time.Now())
 		}
 	}
 }
 
+// crossed records an answer that may belong to another request.
+func (a trackedAttempt) crossed() {
+	if a.tracker != nil {
+		a.tracker.Interrupted(a.run, false, time.Now())
+	}
+}
+
+// answered records an answer. Only a request that the target ran to a good end cannot have crashed others: rejections are
+// frequent at the targets that remain after a crash.
+func (a trackedAttempt) answered(status int, notRun bool) {
+	switch {
+	case a.tracker == nil:
+	case notRun || status >= http.StatusInternalServerError:
+		a.tracker.Remove(a.run)
+	default:
+		a.tracker.Completed(a.run, a.x.quarantineRequest())
+	}
+}
+
 // listens reports whether t still accepts connections. After a severed connection this distinguishes a lost target from
 // a live one that only lost the answer. A target that cannot be reached in time counts as listening.
 func listens(t *viewer.Target) bool {
