Count crashes of a request across services

What callers saw: a request that had ended two targets of one service ended two more after its route moved to another service, and with a split route two of each part. Cause: the record of a request named its service, and was found for that service only. Evidence: forwarder.TestCrashesAreCountedAcrossServices reached 3 targets before (2 allowed), 2 with the change. Change: in direct dispatch a request is identified by host, method, path, query and body alone. Why it works: these are the same at every service to which the request may go.

--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -29,13 +29,12 @@
 )
 
 // quarantineRequest identifies the request to the quarantiner by a hash of its content, since a caller that retries
-// gives it a new ID. The hash is computed once.
+// gives it a new ID. The hash is computed once. The service is left out: the route of the request may move to another one.
 func (x *exchange) quarantineRequest() quarantiner.Request {
 	if x.fingerprint == 0 {
 		x.fingerprint = fingerprint(x.req)
 	}
 	return quarantiner.Request{
-		Service:     x.service.Name,
 		Fingerprint: x.fingerprint,
 	}
 }
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -7,12 +7,15 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/quarantiner"
+	"bramleyline.example/bramleyline/registrar"
 )
 
 // crashing announces a target that ends at its first request that reject does not answer. It counts the arrivals in n.
@@ -73,3 +76,37 @@
 		c.Check(a.Header.Get("Retry-After"), qt.Equals, "30.00", qt.Commentf("refused for another reason, status %d", status))
 	}
 }
+
+// Guards against a request whose crashes are counted anew after its route has moved to another service.
+func TestCrashesAreCountedAcrossServices(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c)
+	b.f.opts.Quarantiner = &quarantiner.Quarantiner{}
+	b.putTable()
+	b.neighbour("tally")
+	var reached atomic.Int32
+	for i, service := range []string{"desk", "tally", "desk"} {
+		id := fmt.Sprint("t", i)
+		b.crashing(id, service, &reached, nil)
+		if service == "tally" {
+			b.own("tally", id)
+		}
+		routes := slices.Clone(b.table.Routes)
+		for r := range routes {
+			if routes[r].Name == "order" {
+				routes[r].Split = []matcher.Part{{
+					Service: service,
+					Weight:  1,
+				}}
+			}
+		}
+		b.table = matcher.New(uint64(i+2), routes, b.table.Services, b.table.Limits)
+		b.commit(registrar.Change{
+			PutTable: &registrar.PutTableMsg{
+				Version: uint64(i + 2),
+			},
+		})
+		b.send(context.Background(), http.MethodPost, "/order/bad", testKey, "7")
+	}
+	c.Assert(reached.Load(), qt.Equals, int32(crashLimit))
+}
