Decide on poison requests in the replicated log

What callers saw: one request ended target after target, 4 to 6 where hosts started and 7 to 18 beside rejections. Cause: hosts counted for themselves and told each other by gossip. A host asked only when it had something to report, and the hosts of a service without keys have nothing; at most eight suspects fit, the newest first, so the worst was left out when many requests were lost; a suspect was passed on for 5 s only; and hosts, control hosts and leaders that started knew nothing. Change: hosts report each lost request with its target at once, the worst first, and five more times within a minute. The control leader (adjudicator) counts each target once for each request, over all hosts, and commits what is refused. Each host has it with its view, also one that starts, comes back or has nothing to report. A request is refused for 2, 8 and 32 minutes; between them one host may send it once. A host that sees it end well says so, and it is released. Why it works: a decision of the log reaches all hosts as changes of the table do, and survives whoever made it.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"bramleyline.example/bramleyline/adjudicator"
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/cacher"
 	"bramleyline.example/bramleyline/controller"
@@ -21,7 +22,6 @@
 	"bramleyline.example/bramleyline/lessor"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/messenger"
-	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recruiter"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/timekeeper"
@@ -81,8 +81,10 @@
 	tableCache       cacher.Cacher
 	table            *matcher.Table
 	estimators       map[string]*estimator.Estimator
-	// suspects holds the records of requests that crash their targets, for the exchange with other hosts.
-	suspects quarantiner.Quarantiner
+	// adjudicator decides which requests are refused because they crash their targets. quarantinePending says that a
+	// decision is being committed.
+	adjudicator       adjudicator.Adjudicator
+	quarantinePending atomic.Bool
 	// issuer issues the tokens of targets that state a limit. limitsPending says that a command with limits is being
 	// committed, limitsAt when the last one was begun.
 	issuer        issuer.Issuer
@@ -298,6 +300,7 @@
 	s.updateMembers(now)
 	st := s.opts.Controller.State()
 	s.updateLimits(now, st.Registry)
+	s.updateQuarantine(now, st.Registry)
 	if !s.updateTable(st) {
 		return
 	}
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -7,6 +7,7 @@
 
 	"bramleyline.example/bramleyline/issuer"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/reporter"
 	"bramleyline.example/bramleyline/timekeeper"
 )
 
@@ -28,6 +29,9 @@
 	services map[string]*serviceReport
 	// stated holds what targets stated last, with the time of the answer.
 	stated map[registrar.Incarnation]statedAt
+	// losses and completed are the lost and the completed requests that hosts reported.
+	losses    []reporter.SuspectMsg
+	completed []uint64
 }
 
 type statedAt struct {
@@ -113,6 +117,25 @@
 	return reports
 }
 
+// addLosses adds lost and completed requests. It returns the number of those dropped because of maxRelayed; hosts repeat them.
+func (r *relay) addLosses(losses []reporter.SuspectMsg, completed []uint64) (dropped int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, k := min(len(losses), maxRelayed-len(r.losses)), min(len(completed), maxRelayed-len(r.completed))
+	r.losses = append(r.losses, losses[:n]...)
+	r.completed = append(r.completed, completed[:k]...)
+	return len(losses) - n + len(completed) - k
+}
+
+// takeLosses returns what addLosses added since the last call.
+func (r *relay) takeLosses() (losses []reporter.SuspectMsg, completed []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	losses, completed = r.losses, r.completed
+	r.losses, r.completed = nil, nil
+	return losses, completed
+}
+
 // addStated adds what targets stated to a host. The latest answer of a target counts.
 func (r *relay) addStated(now time.Time, stated []issuer.StatedMsg) {
 	r.mu.Lock()
@@ -157,23 +180,35 @@
 			return
 		case <-ticker.C:
 		}
-		reports, suspects := s.relay.take(), s.suspects.Suspects(time.Now())
+		reports := s.relay.take()
+		losses, completed := s.relay.takeLosses()
 		stated := s.relay.takeStated(timekeeper.Now())
 		leader, _ := s.opts.Controller.Contact()
 		addr := s.opts.Controller.State().Hosts[leader].RPC
-		if len(reports)+len(suspects)+len(stated) == 0 || !addr.IsValid() || s.leads() {
+		if s.leads() {
+			s.observeLosses(losses, completed)
+			continue
+		}
+		if !addr.IsValid() {
+			s.relay.addLosses(losses, completed)
+			continue
+		}
+		if len(reports)+len(losses)+len(completed)+len(stated) == 0 {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, relayTimeout)
 		var reply ObserveReply
 		err := s.opts.Messenger.Call(ctx, addr, "Leader.Observe", &ObserveArgs{
-			Work:     reports,
-			Suspects: suspects,
-			Stated:   stated,
-			Relayed:  true,
+			Work:      reports,
+			Losses:    losses,
+			Completed: completed,
+			Stated:    stated,
+			Relayed:   true,
 		}, &reply)
 		cancel()
-		s.suspects.AddSuspects(reply.Suspects, time.Now())
+		if err != nil {
+			s.relay.addLosses(losses, completed)
+		}
 		if err != nil && s.ctx.Err() == nil {
 			counters.Add("lostRelays", 1)
 			s.opts.Log.Debug("relayed report lost", "leader", leader, "services", len(reports), "err", err)
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -34,18 +34,18 @@
 // ObserveArgs are the arguments of Leader.Observe.
 type ObserveArgs struct {
 	Work []ServiceLoadMsg
-	// Suspects are the requests known to the sender during which targets were lost.
-	Suspects []reporter.SuspectMsg
+	// Losses are requests that were running at targets when these were lost, one for each target. Completed are the
+	// fingerprints of requests with losses that ran to a good end later.
+	Losses    []reporter.SuspectMsg
+	Completed []uint64
 	// Stated holds what targets stated in their answers since the last report.
 	Stated []issuer.StatedMsg
 	// Relayed says that a control host relays reports of other hosts.
 	Relayed bool
 }
 
-// ObserveReply is the answer of Leader.Observe: the suspect requests that any host reported recently.
-type ObserveReply struct {
-	Suspects []reporter.SuspectMsg
-}
+// ObserveReply is the answer of Leader.Observe.
+type ObserveReply struct{}
 
 // leaderService implements the RPC service "Leader".
 type leaderService struct {
@@ -91,15 +91,13 @@
 	return nil
 }
 
-// Observe takes the load reports and suspect requests that an entry host or another control host sent. Relayed load
+// Observe takes the load reports and lost requests that an entry host or another control host sent. Relayed load
 // reports are dropped unless this host leads, so that they are not relayed again.
-func (s *leaderService) Observe(args *ObserveArgs, reply *ObserveReply) error {
+func (s *leaderService) Observe(args *ObserveArgs, _ *ObserveReply) error {
 	if !args.Relayed || s.coordinator.leads() {
 		s.coordinator.Observe(args.Work, args.Stated)
+		s.coordinator.observeLosses(args.Losses, args.Completed)
 	}
-	now := time.Now()
-	s.coordinator.suspects.AddSuspects(args.Suspects, now)
-	reply.Suspects = s.coordinator.suspects.Suspects(now)
 	return nil
 }
 
--- a/director/entry.go
+++ b/director/entry.go
@@ -43,6 +43,10 @@
 	trimInterval = 2 * time.Second
 	// forgetAfter is how long the statistics of a target are kept after its last request.
 	forgetAfter = time.Minute
+	// lossInterval is the least time between two reports of losses, and maxReportedLosses bounds the losses in one: at 60
+	// bytes each, sending them at 2 Mbit/s takes 60 ms.
+	lossInterval      = 50 * time.Millisecond
+	maxReportedLosses = 256
 	// balancerTime is how long the balancer may continue to send new connections after this host became not ready: it
 	// checks readiness each second and removes a host after two failed checks.
 	balancerTime = 3 * time.Second
@@ -227,27 +231,37 @@
 func (e *entry) sendReports() {
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
+	var observations []coordinator.ServiceLoadMsg
+	var stated []issuer.StatedMsg
 	for {
 		select {
 		case <-e.d.ctx.Done():
 			return
 		case <-timer.C:
+			timer.Reset(e.reportWait())
+			observations, stated = e.meter.take(), e.limiter.Stated()
+		case <-e.suspects.News():
+			// Other hosts send the request too until they are told.
+			observations, stated = nil, nil
+			time.Sleep(lossInterval)
 		}
-		timer.Reset(e.reportWait())
-		observations, suspects, stated := e.meter.take(), e.suspects.Suspects(time.Now()), e.limiter.Stated()
 		addr := e.d.puller.Source()
-		if len(observations)+len(suspects)+len(stated) == 0 || !addr.IsValid() {
+		if !addr.IsValid() {
+			continue
+		}
+		losses, completed := e.suspects.Losses(time.Now(), maxReportedLosses), e.suspects.Completed(time.Now())
+		if len(observations)+len(losses)+len(completed)+len(stated) == 0 {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(e.d.ctx, reportTimeout)
 		var reply coordinator.ObserveReply
 		err := e.d.messenger.Call(ctx, addr, "Leader.Observe", &coordinator.ObserveArgs{
-			Work:     observations,
-			Suspects: suspects,
-			Stated:   stated,
+			Work:      observations,
+			Losses:    losses,
+			Completed: completed,
+			Stated:    stated,
 		}, &reply)
 		cancel()
-		e.suspects.AddSuspects(reply.Suspects, time.Now())
 		if err != nil && e.d.ctx.Err() == nil {
 			e.d.log.Debug("report lost", "host", addr, "services", len(observations), "err", err)
 		}
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -10,16 +10,16 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/acceptor"
+	"bramleyline.example/bramleyline/adjudicator"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/viewer"
 )
 
 const (
-	// crashLimit is the number of lost targets after which the request that they were running is refused: a single loss
-	// may be a coincidence, and the requirement is that a request crashes three targets at most.
-	crashLimit = 2
-	// quarantineTime is how long such a request is refused after the last loss.
+	// crashLimit is the number of losses of this host after which it refuses a request before the control leader has decided.
+	crashLimit = adjudicator.CrashLimit
+	// quarantineTime is how long such a request is refused after the last loss if no decision comes.
 	quarantineTime = 2 * time.Minute
 	// dialTimeout bounds the test connection that shows whether a target still listens; between data centres it takes
 	// about 4 ms.
@@ -39,6 +39,19 @@
 	}
 }
 
+// mustRefuse asks for the decision of the control leader, or if there is none for the losses of this host. In a trial the
+// request may be sent once.
+func (x *exchange) mustRefuse(q *quarantiner.Quarantiner) bool {
+	v, _ := x.f.opts.View()
+	if v.QuarantineLen() > 0 {
+		req := x.quarantineRequest()
+		if round, trial, ok := v.Quarantined(req.Fingerprint); ok {
+			return !q.Decided(req, round, trial)
+		}
+	}
+	return q.MustRefuse(x.quarantineRequest(), crashLimit, quarantineTime, time.Now())
+}
+
 func fingerprint(r *acceptor.Request) uint64 {
 	h := xxhash.New()
 	for _, s := range []string{r.Method, r.Host, r.URI} {
@@ -53,7 +66,7 @@
 // quarantined reports whether the request must be refused because targets were lost while they ran it.
 func (x *exchange) quarantined() bool {
 	q := x.f.opts.Quarantiner
-	if q == nil || !q.MustRefuse(x.quarantineRequest(), crashLimit, quarantineTime, time.Now()) {
+	if q == nil || !x.mustRefuse(q) {
 		return false
 	}
 	x.f.opts.Log.Info("request in quarantine", "request", x.call.ID, "fingerprint", x.fingerprint, "service", x.service.Name)
@@ -115,7 +128,15 @@
 	case notRun || status >= http.StatusInternalServerError:
 		a.tracker.Remove(a.run)
 	default:
-		a.tracker.Completed(a.run, a.x.quarantineRequest())
+		req := a.x.quarantineRequest()
+		a.tracker.Completed(a.run, req)
+		v, _ := a.x.f.opts.View()
+		if v.QuarantineLen() == 0 {
+			return
+		}
+		if _, _, ok := v.Quarantined(req.Fingerprint); ok {
+			a.x.f.opts.Quarantiner.Complete(req.Fingerprint)
+		}
 	}
 }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -50,10 +50,14 @@
 // record holds the losses that are counted for one suspect request.
 type record struct {
 	request Request
-	losses  []incarnationID
+	losses  []loss
 	// crashes is the number of targets that were lost while they ran the request.
 	crashes  int
 	lastLoss time.Time
+	// decided is true once the control leader has decided to refuse the request, and trialRound the last round in which this
+	// host sent it as a trial.
+	decided    bool
+	trialRound uint32
 	// cleared is true if the request completed after its last loss. The record is kept so that reports of other hosts
 	// about the same losses are not counted.
 	cleared bool
@@ -70,6 +74,11 @@
 	// order holds the records, the oldest first.
 	order []*record
 
+	// completed holds the requests with losses that completed later and are to be reported.
+	completed map[uint64]*report
+	// news receives a value when there is something to report.
+	news chan struct{}
+
 	trackersMu sync.Mutex
 	trackers   map[targetID]*RunTracker
 }
@@ -126,8 +135,25 @@
 	return q.byFingerprint[r.Fingerprint].refused(r, limit, keep, now) || q.byIdentity[r.Identity].refused(r, limit, keep, now)
 }
 
+// Decided records that the control leader refuses the request, which replaces the decision of this host also after it ends.
+// It reports whether this host may send the request now: once, if trial is true, in each round.
+func (q *Quarantiner) Decided(req Request, round uint32, trial bool) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.find(req)
+	if r == nil {
+		r = q.add(req)
+	}
+	r.decided = true
+	if !trial || r.trialRound >= round {
+		return false
+	}
+	r.trialRound = round
+	return true
+}
+
 func (r *record) refused(req Request, limit int, keep time.Duration, now time.Time) bool {
-	return r != nil && !r.cleared && r.request.Service == req.Service && r.crashes >= limit && now.Sub(r.lastLoss) < keep
+	return r != nil && !r.cleared && !r.decided && r.request.Service == req.Service && r.crashes >= limit && now.Sub(r.lastLoss) < keep
 }
 
 // Lost records that an incarnation of a target is lost. It counts a crash for each request whose connection to it was
@@ -162,15 +188,20 @@
 		}
 		return
 	}
-	if r.cleared {
-		r.cleared, r.crashes, crashes = false, 0, min(crashes, 1)
+	if r.cleared || r.decided {
+		r.cleared, r.decided, r.crashes, crashes = false, false, 0, min(crashes, 1)
 	}
 	if crashes > 0 {
 		counters.Add("receivedLosses", 1)
 	} else {
 		counters.Add("losses", 1)
 	}
-	r.losses = append(r.losses, id)
+	r.losses = append(r.losses, loss{
+		id:     id,
+		report: report{dueAt: now},
+		own:    crashes == 0,
+	})
+	q.notify()
 	if len(r.losses) > maxLosses {
 		r.losses = r.losses[1:]
 	}
@@ -180,7 +211,7 @@
 
 func (r *record) hasLoss(id incarnationID) bool {
 	for _, l := range r.losses {
-		if l == id {
+		if l.id == id {
 			return true
 		}
 	}
@@ -242,8 +273,12 @@
 	q.mu.Lock()
 	if !r.cleared {
 		counters.Add("clearedRecords", 1)
+		q.reportCompleted(req.Fingerprint)
 	}
 	r.cleared, r.crashes = true, 0
+	for i := range r.losses {
+		r.losses[i].own = false
+	}
 	q.mu.Unlock()
 }
 
@@ -265,7 +300,7 @@
 			counters.Add("omittedReports", 1)
 			continue
 		}
-		last := r.losses[len(r.losses)-1]
+		last := r.losses[len(r.losses)-1].id
 		msgs = append(msgs, reporter.SuspectMsg{
 			Service:     r.request.Service,
 			Request:     r.request.Identity,
--- a/registrar/change.go
+++ b/registrar/change.go
@@ -11,6 +11,8 @@
 	Refence  *RefenceMsg
 	Rate     *RateMsg
 	Limit    *LimitMsg
+	// Quarantine changes the requests that are refused because they crash targets.
+	Quarantine *QuarantineMsg
 }
 
 // PutTableMsg stores a traffic table.
@@ -85,6 +87,8 @@
 		return r.Rate(c.Rate.Ratings)
 	case c.Limit != nil:
 		return r.Limit(c.Limit.Limits)
+	case c.Quarantine != nil:
+		return r.SetQuarantine(*c.Quarantine)
 	}
 	return r
 }
--- /dev/null
+++ b/registrar/quarantine.go
@@ -0,0 +1,33 @@
+package registrar
+
+import "bramleyline.example/bramleyline/indexer"
+
+// QuarantineMsg adds requests to the quarantine, or moves them to another round, and removes requests from it.
+type QuarantineMsg struct {
+	Set    []Quarantined
+	Remove []uint64
+}
+
+// Quarantined is a request that crashes the targets that run it.
+type Quarantined struct {
+	// Fingerprint is a hash of the request, as in reporter.SuspectMsg.
+	Fingerprint uint64
+	// Round is the number of trials that were due so far. In each round but the first, one host may send the request once.
+	Round uint32
+}
+
+// Quarantine returns the requests that are refused, with their rounds, by fingerprint.
+func (r Registry) Quarantine() indexer.Map[uint64, uint32] {
+	return r.quarantine
+}
+
+// SetQuarantine changes the requests that are refused.
+func (r Registry) SetQuarantine(m QuarantineMsg) Registry {
+	for _, q := range m.Set {
+		r.quarantine = r.quarantine.With(q.Fingerprint, q.Round)
+	}
+	for _, fp := range m.Remove {
+		r.quarantine = r.quarantine.Without(fp)
+	}
+	return r
+}
--- a/registrar/wire.go
+++ b/registrar/wire.go
@@ -20,6 +20,9 @@
 	Refence  string           `cbor:"7,keyasint,omitempty"`
 	Rate     []ratingWire     `cbor:"8,keyasint,omitempty"`
 	Limit    []limitWire      `cbor:"9,keyasint,omitempty"`
+	// Quarantine and Unquarantine are the two lists of a QuarantineMsg.
+	Quarantine   []quarantinedWire `cbor:"10,keyasint,omitempty"`
+	Unquarantine []uint64          `cbor:"11,keyasint,omitempty"`
 }
 
 // Wire is the encoded form of a Registry.
@@ -28,6 +31,13 @@
 	Targets    []targetWire             `cbor:"2,keyasint,omitempty"`
 	Tombstones map[string]tombstoneWire `cbor:"3,keyasint,omitempty"`
 	Ranges     map[string][]rangeWire   `cbor:"4,keyasint,omitempty"`
+	Quarantine []quarantinedWire        `cbor:"5,keyasint,omitempty"`
+}
+
+type quarantinedWire struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Round       uint32
 }
 
 type documentWire struct {
@@ -164,6 +174,14 @@
 				Limit:       limitToWire(l.Limit),
 			})
 		}
+	case c.Quarantine != nil:
+		for _, q := range c.Quarantine.Set {
+			w.Quarantine = append(w.Quarantine, quarantinedWire{
+				Fingerprint: q.Fingerprint,
+				Round:       q.Round,
+			})
+		}
+		w.Unquarantine = c.Quarantine.Remove
 	}
 	return &w
 }
@@ -230,6 +248,16 @@
 				Limit:       limitFromWire(l.Limit),
 			})
 		}
+	case len(w.Quarantine)+len(w.Unquarantine) > 0:
+		c.Quarantine = &QuarantineMsg{
+			Remove: w.Unquarantine,
+		}
+		for _, q := range w.Quarantine {
+			c.Quarantine.Set = append(c.Quarantine.Set, Quarantined{
+				Fingerprint: q.Fingerprint,
+				Round:       q.Round,
+			})
+		}
 	}
 	return c
 }
@@ -268,6 +296,12 @@
 		}
 		w.Ranges[service] = list
 	}
+	for fp, round := range r.quarantine.All() {
+		w.Quarantine = append(w.Quarantine, quarantinedWire{
+			Fingerprint: fp,
+			Round:       round,
+		})
+	}
 	return &w
 }
 
@@ -305,6 +339,9 @@
 		}
 		r = r.withRanges(service, ranges.Map)
 	}
+	for _, q := range w.Quarantine {
+		r.quarantine = r.quarantine.With(q.Fingerprint, q.Round)
+	}
 	return r
 }
 
--- /dev/null
+++ b/viewer/quarantine.go
@@ -0,0 +1,63 @@
+package viewer
+
+import (
+	"strconv"
+
+	"bramleyline.example/bramleyline/registrar"
+)
+
+// Quarantined returns the round of a request that the control leader has quarantined, and whether it has. trial is true
+// if this host is the one that may send the request once in this round.
+func (v *View) Quarantined(fingerprint uint64) (round uint32, trial, ok bool) {
+	if v == nil || v.snapshot == nil {
+		return 0, false, false
+	}
+	round, ok = v.snapshot.registry.Quarantine().Get(fingerprint)
+	if !ok || round == 0 {
+		return round, false, ok
+	}
+	return round, v.Share(1, strconv.FormatUint(fingerprint+uint64(round), 16)) == 1, true
+}
+
+// QuarantineLen returns the number of quarantined requests.
+func (v *View) QuarantineLen() int {
+	if v == nil || v.snapshot == nil {
+		return 0
+	}
+	return v.snapshot.registry.Quarantine().Len()
+}
+
+// Status returns whether an incarnation is the current one of its target, and whether it drains.
+func (v *View) Status(inc registrar.Incarnation) (alive, draining bool) {
+	if v == nil || v.snapshot == nil {
+		return false, false
+	}
+	t, ok := v.snapshot.registry.Target(inc.ID)
+	if !ok || !t.Born.Equal(inc.Born) {
+		return false, false
+	}
+	return true, t.Draining
+}
+
+// Others returns up to n targets beside t that do not drain: of the data centre of t, or of others if it has none.
+func (v *View) Others(t *Target, n int) []Target {
+	if v == nil || v.snapshot == nil {
+		return nil
+	}
+	var local, remote []Target
+	for _, o := range v.snapshot.registry.Targets().All() {
+		switch {
+		case len(local) >= n:
+			return local
+		case o.ID == t.ID || o.Addr == t.Addr || o.Draining || !o.Addr.IsValid():
+		case o.DataCentre == t.DataCentre:
+			local = append(local, v.snapshot.target(o))
+		case len(remote) < n:
+			remote = append(remote, v.snapshot.target(o))
+		}
+	}
+	if len(local) > 0 {
+		return local
+	}
+	return remote
+}
