Count crashes that show only when the target has gone

What callers saw: targets ended under a request that nobody counted, when the target fell silent or came back under a new ID. Cause: a loss counted only if the connection was severed and nobody listened any more, or if an incarnation of the same ID followed; mostly a new start has a new ID. Severed connections were forgotten after 3 s, targets are back after some seconds. Change: each 250 ms in which the view has changed, requests without an answer are settled by what the registry says of their targets. A target that drained before has left, and its cut requests count for nothing; trackers of ended targets are dropped, which piled up before. Why it works: the registry learns of each end of a target, from a newer one at its address or from its departure.

--- a/director/entry.go
+++ b/director/entry.go
@@ -20,6 +20,7 @@
 	"bramleyline.example/bramleyline/puller"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
+	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/timekeeper"
@@ -43,6 +44,8 @@
 	trimInterval = 2 * time.Second
 	// forgetAfter is how long the statistics of a target are kept after its last request.
 	forgetAfter = time.Minute
+	// settleInterval is the least time between two checks whether the targets of requests without an answer have ended.
+	settleInterval = 250 * time.Millisecond
 	// lossInterval is the least time between two reports of losses, and maxReportedLosses bounds the losses in one: at 60
 	// bytes each, sending them at 2 Mbit/s takes 60 ms.
 	lossInterval      = 50 * time.Millisecond
@@ -190,6 +193,9 @@
 func (e *entry) followState() {
 	trim := time.NewTicker(trimInterval)
 	defer trim.Stop()
+	settle := time.NewTicker(settleInterval)
+	defer settle.Stop()
+	var settled *viewer.View
 	for {
 		changed := e.d.source.Changed()
 		e.updateView()
@@ -197,6 +203,11 @@
 		case <-e.d.ctx.Done():
 			return
 		case <-changed:
+		case <-settle.C:
+			if v, _ := e.currentView(); v != nil && v != settled {
+				settled = v
+				e.settle(v)
+			}
 		case <-trim.C:
 			e.sender.Trim(time.Now())
 			e.selector.Forget(time.Now().Add(-forgetAfter))
@@ -205,6 +216,16 @@
 	}
 }
 
+// settle counts the requests that were lost with targets that v no longer lists.
+func (e *entry) settle(v *viewer.View) {
+	e.suspects.Settle(time.Now(), func(target string, incarnation uint64) (alive, draining bool) {
+		return v.Status(registrar.Incarnation{
+			ID:   target,
+			Born: time.UnixMilli(int64(incarnation)).UTC(),
+		})
+	})
+}
+
 func (e *entry) updateView() {
 	st := e.d.source.State()
 	old, _ := e.currentView()
--- a/quarantiner/runtracker.go
+++ b/quarantiner/runtracker.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// severedRetention is how long a request whose connection was severed is remembered in case its target turns out to
-	// be lost. The tracker detects that within the lease of the target (750 ms) and its margin.
+	// severedRetention is how long a severed connection counts as caused by the loss of its target. The tracker detects a
+	// loss within the lease of the target (750 ms) and its margin.
 	severedRetention = 3 * time.Second
-	// unansweredRetention is how long a request that was given up without an answer is remembered. It counts only if a new
-	// incarnation of the target appears, because a frozen target looks the same until then.
+	// unansweredRetention is how long a request without an answer is remembered in case its target proves to have started
+	// again, which takes some seconds. Until then a frozen target looks the same.
 	unansweredRetention = 30 * time.Second
 	// maxEnded bounds the requests that a RunTracker remembers after they ended without an answer.
 	maxEnded = 256
@@ -25,12 +25,8 @@
 	ended time.Time
 }
 
-// expired reports whether the request ended too long ago to count.
-func (r *run) expired(now time.Time) bool {
-	retention := unansweredRetention
-	if r.severed {
-		retention = severedRetention
-	}
+// expired reports whether the request ended longer ago than retention.
+func (r *run) expired(now time.Time, retention time.Duration) bool {
 	return !r.ended.IsZero() && now.Sub(r.ended) > retention
 }
 
@@ -47,6 +43,8 @@
 	ended []uint64
 	// lost is true if the incarnation is known to be lost.
 	lost bool
+	// leaving is true if the incarnation was seen to drain. The lock of the Quarantiner's trackers guards it.
+	leaving bool
 }
 
 // Begin records that a request is about to be written to the target. It returns the number of the request in the
@@ -97,7 +95,7 @@
 func (t *RunTracker) expire(now time.Time) {
 	for len(t.ended) > 0 {
 		r, ok := t.runs[t.ended[0]]
-		if ok && !r.expired(now) && len(t.ended) <= maxEnded {
+		if ok && !r.expired(now, unansweredRetention) && len(t.ended) <= maxEnded {
 			return
 		}
 		if ok {
@@ -114,10 +112,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lost = true
+	retention := severedRetention
+	if restarted {
+		retention = unansweredRetention
+	}
 	var requests []Request
 	for n, r := range t.runs {
 		if r.severed || restarted {
-			if !r.expired(now) {
+			if !r.expired(now, retention) {
 				requests = append(requests, r.request)
 			}
 			delete(t.runs, n)
