Do not report a host's own cut as the loss of targets

What callers saw (by reading; no record): a host whose links to targets are reset and refused counts each request there as lost with its target, so that requests that run well elsewhere are refused. Cause: a severed connection and a refused new one were taken as proof that the target had ended. Change: a loss needs another target, of the same data centre if there is one, that accepts a connection just then. What is not counted so is settled by the registry. Why it works: a host that reaches the neighbours of a target has its links.

--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -24,6 +24,8 @@
 	// dialTimeout bounds the test connection that shows whether a target still listens; between data centres it takes
 	// about 4 ms.
 	dialTimeout = 200 * time.Millisecond
+	// maxNeighbours is the number of other targets that are tried to tell a lost target from lost links.
+	maxNeighbours = 3
 	// retryAfterSuspect is the Retry-After delay for the callers of such requests.
 	retryAfterSuspect = 30 * time.Second
 )
@@ -105,7 +107,7 @@
 		a.tracker.Remove(a.run)
 	default:
 		a.tracker.Interrupted(a.run, f.Severed, time.Now())
-		if f.Severed && !listens(a.target) {
+		if f.Severed && !listens(a.target) && a.x.reaches(a.target) {
 			a.x.f.opts.Log.Info("target lost while it ran a request", "request", a.x.call.ID, "fingerprint", a.x.fingerprint,
 				"target", a.target.ID, "service", a.x.service.Name)
 			a.x.f.opts.Quarantiner.Lost(a.x.service.Name, a.target.ID, uint64(a.target.Born.UnixMilli()), time.Now())
@@ -140,6 +142,28 @@
 	}
 }
 
+// reaches reports whether this host reaches other targets than t, of the same data centre if there are any. If it does not,
+// it has lost its own links, and a refused connection says nothing about t.
+func (x *exchange) reaches(t *viewer.Target) bool {
+	v, _ := x.f.opts.View()
+	for _, o := range v.Others(t, maxNeighbours) {
+		if accepts(&o) {
+			return true
+		}
+	}
+	return false
+}
+
+// accepts reports whether t accepts a connection in time.
+func accepts(t *viewer.Target) bool {
+	conn, err := net.DialTimeout("tcp", t.Addr.String(), dialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // listens reports whether t still accepts connections. After a severed connection this distinguishes a lost target from
 // a live one that only lost the answer. A target that cannot be reached in time counts as listening.
 func listens(t *viewer.Target) bool {
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -110,3 +112,23 @@
 	}
 	c.Assert(reached.Load(), qt.Equals, int32(crashLimit))
 }
+
+// Guards against a host that has lost its own links to targets and reports the requests there as lost with them.
+func TestHostWithoutLinksLosesNoTargets(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c)
+	b.f.opts.Quarantiner = &quarantiner.Quarantiner{}
+	b.putTable()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	gone := netip.MustParseAddrPort(ln.Addr().String())
+	c.Assert(ln.Close(), qt.IsNil)
+	b.announce("other", "tally", gone)
+	for i := range crashLimit {
+		id := fmt.Sprint("t", i)
+		b.crashing(id, "tally", &atomic.Int32{}, nil)
+		b.own("tally", id)
+		b.send(context.Background(), http.MethodPost, "/tally/1", testKey, "7")
+	}
+	c.Assert(b.f.opts.Quarantiner.Losses(time.Now(), 10), qt.HasLen, 0)
+}
