Start the retry budget of a restarted host empty

What targets saw (by a test; no record): with hosts restarted in turn more requests were sent twice than all hosts together may send. Cause: the slack of the retry budget is divided by hosts, and each process began with its host's whole part, although the process before may have used it within the same window. Evidence: forwarder.TestRestartedHostsAddNoSlack: 8 hosts started three times sent 135 retries of a slack of 45 before. Change: a host that does not start with the system for the first time begins with an empty bucket, which fills with its requests. Measured after: 45. Why it works: only the first process of a host uses the slack; later ones retry a share of what they get.

--- a/director/entry.go
+++ b/director/entry.go
@@ -131,6 +131,7 @@
 			Limits: forwarder.Limits{
 				RetryShare: retrySafety * s.Direct.RetryShare,
 				RetrySlack: retrySafety * s.Direct.RetrySlack,
+				Restarted:  !s.Direct.Bootstrap,
 				ColdFactor: s.Direct.ColdFactor,
 				ColdSlack:  s.Direct.ColdSlack,
 				DrainTime:  time.Duration(drainShare * float64(s.Direct.DrainTime)),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	RetryShare float64
 	// RetrySlack is the number of retries beyond that share that all hosts together may send to a service.
 	RetrySlack float64
+	// Restarted says that this host may have used its part of that slack before, in an earlier process.
+	Restarted bool
 	// ColdFactor and ColdSlack give the limit of a cold target, in requests per second: the service's ColdRate x factor
 	// + slack.
 	ColdFactor float64
@@ -121,9 +123,13 @@
 	if b, ok := f.retryBudgets.Load(service); ok {
 		return b.(*retrier.Budget)
 	}
-	b, _ := f.retryBudgets.LoadOrStore(service, &retrier.Budget{
+	fresh := &retrier.Budget{
 		Burst: max(1, int(f.opts.Limits.RetrySlack)),
-	})
+	}
+	if f.opts.Limits.Restarted {
+		fresh.Resize(0)
+	}
+	b, _ := f.retryBudgets.LoadOrStore(service, fresh)
 	return b.(*retrier.Budget)
 }
 
--- a/forwarder/retry_test.go
+++ b/forwarder/retry_test.go
@@ -32,3 +32,34 @@
 		c.Check(total >= 40, qt.IsTrue, qt.Commentf("%d retries of %d hosts", total, hosts))
 	}
 }
+
+// Guards against retries beyond the budget of all hosts while hosts are restarted in turn: each process began with the part
+// of the slack that the one before had used.
+func TestRestartedHostsAddNoSlack(t *testing.T) {
+	c := qt.New(t)
+	const hosts, slack = 8, 45
+	total := 0
+	for life := range 3 {
+		for rank := range hosts {
+			b := newFixture(c)
+			v := &viewer.View{
+				Hosts: hosts,
+				Rank:  rank,
+			}
+			b.f.opts.View = func() (*viewer.View, <-chan struct{}) { return v, nil }
+			b.f.opts.Limits.RetrySlack = slack
+			b.f.opts.Limits.Restarted = life > 0
+			for b.f.withdrawRetry("desk") {
+				total++
+			}
+		}
+	}
+	c.Assert(total <= slack, qt.IsTrue, qt.Commentf("%d retries", total))
+	// A restarted host still retries a share of its own requests.
+	b := newFixture(c)
+	b.f.opts.Limits.Restarted = true
+	for range 10 {
+		b.f.retryBudget("desk").Deposit(0.2)
+	}
+	c.Assert(b.f.withdrawRetry("desk"), qt.IsTrue)
+}
