Report all suspects to the authority, the worst first

What targets saw, in delegated dispatch: as in direct dispatch, a poison request was left out of the reports when others were lost too. Cause: a host reported its eight newest suspects for 5 s; older ones never, and an authority that was named later heard of none. Evidence: quarantiner.TestAllSuspectsAreReported: 8 of 252 suspects were reported before, the poison request not among them. Change: suspects take turns, those with most lost targets first, and are repeated each 10 s for two minutes.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -6,7 +6,9 @@
 package quarantiner
 
 import (
+	"cmp"
 	"expvar"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,9 +25,12 @@
 	// maxRecords bounds the suspect records of a host. With up to 64 requests in progress at each of 20 targets, the loss
 	// of 8 hosts with all of their targets leaves about as many.
 	maxRecords = 8192
-	// reportDuration is how long a record is reported after its last loss, and maxReported how many records a report
-	// holds at most: it is sent with each heartbeat and shares 11 KB/s with the rest of the control traffic.
-	reportDuration = 5 * time.Second
+	// urgentTime is how long a record is reported with each heartbeat after its last loss, as far as it fits, and
+	// reportDuration how long every laterGap, for an authority that is named in that time. maxReported is how many records a
+	// report holds at most: it shares 11 KB/s with the rest of the control traffic.
+	urgentTime     = 5 * time.Second
+	reportDuration = 2 * time.Minute
+	laterGap       = 10 * time.Second
 	maxReported    = 8
 	// maxLosses bounds the losses that one record remembers in order to count each of them once.
 	maxLosses = 8
@@ -58,6 +63,8 @@
 	// host sent it as a trial.
 	decided    bool
 	trialRound uint32
+	// reportedAt is when Suspects last returned the record.
+	reportedAt time.Time
 	// cleared is true if the request completed after its last loss. The record is kept so that reports of other hosts
 	// about the same losses are not counted.
 	cleared bool
@@ -206,7 +213,7 @@
 		r.losses = r.losses[1:]
 	}
 	r.crashes = max(r.crashes+1, crashes)
-	r.lastLoss = now
+	r.lastLoss, r.reportedAt = now, time.Time{}
 }
 
 func (r *record) hasLoss(id incarnationID) bool {
@@ -282,24 +289,34 @@
 	q.mu.Unlock()
 }
 
-// Suspects returns the newest suspect requests that are not cleared, at most maxReported, to be reported to other
-// hosts.
+// Suspects returns suspect requests that are not cleared, at most maxReported, to be reported to other hosts: those that
+// were not reported for longest, and of new ones those that were lost with most targets.
 func (q *Quarantiner) Suspects(now time.Time) []reporter.SuspectMsg {
 	if q.recordCount.Load() == 0 {
 		return nil
 	}
-	q.mu.RLock()
-	defer q.mu.RUnlock()
-	var msgs []reporter.SuspectMsg
-	for i := len(q.order) - 1; i >= 0; i-- {
-		r := q.order[i]
-		if r.cleared || r.crashes == 0 || now.Sub(r.lastLoss) > reportDuration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var due []*record
+	for _, r := range q.order {
+		if r.cleared || r.crashes == 0 {
 			continue
 		}
-		if len(msgs) == maxReported {
-			counters.Add("omittedReports", 1)
-			continue
+		age := now.Sub(r.lastLoss)
+		if age <= urgentTime || age <= reportDuration && now.Sub(r.reportedAt) >= laterGap {
+			due = append(due, r)
 		}
+	}
+	slices.SortStableFunc(due, func(a, b *record) int {
+		return cmp.Or(a.reportedAt.Compare(b.reportedAt), cmp.Compare(b.crashes, a.crashes))
+	})
+	if len(due) > maxReported {
+		counters.Add("omittedReports", int64(len(due)-maxReported))
+		due = due[:maxReported]
+	}
+	msgs := make([]reporter.SuspectMsg, 0, len(due))
+	for _, r := range due {
+		r.reportedAt = now
 		last := r.losses[len(r.losses)-1].id
 		msgs = append(msgs, reporter.SuspectMsg{
 			Service:     r.request.Service,
--- a/quarantiner/report_test.go
+++ b/quarantiner/report_test.go
@@ -74,3 +74,35 @@
 	c.Assert(q.Decided(poison, 2, true), qt.IsTrue)
 	c.Assert(refused(&q, poison), qt.IsFalse)
 }
+
+// Guards against a poison request that no other host is told of because hundreds of requests were lost at the same time, and
+// against one that an authority never hears of because it was named later.
+func TestAllSuspectsAreReported(t *testing.T) {
+	c := qt.New(t)
+	var q Quarantiner
+	l := q.Tracker("tally", "t1", 1, now)
+	crash(&q, "t0", 1)
+	for i := range 250 {
+		l.Interrupted(l.Begin(Request{Service: "tally", Fingerprint: uint64(100 + i)}), true, now)
+	}
+	q.Lost("tally", "t1", 1, now)
+	crash(&q, "t2", 1)
+	const heartbeat = 150 * time.Millisecond
+	seen := make(map[uint64]time.Duration)
+	for d := time.Duration(0); d < urgentTime; d += heartbeat {
+		for _, m := range q.Suspects(now.Add(d)) {
+			if _, ok := seen[m.Fingerprint]; !ok {
+				seen[m.Fingerprint] = d
+			}
+		}
+	}
+	c.Assert(seen, qt.HasLen, 252)
+	c.Assert(seen[poison.Fingerprint], qt.Equals, time.Duration(0))
+	later := false
+	for d := time.Minute; d < time.Minute+2*urgentTime; d += heartbeat {
+		for _, m := range q.Suspects(now.Add(d)) {
+			later = later || m.Fingerprint == poison.Fingerprint
+		}
+	}
+	c.Assert(later, qt.IsTrue)
+}
