--- a/director/director.go
+++ b/director/director.go
@@ -28,6 +28,7 @@
 	"bramleyline.example/bramleyline/prober"
 	"bramleyline.example/bramleyline/proposer"
 	"bramleyline.example/bramleyline/puller"
+	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/settingsreader"
 )
 
@@ -83,10 +84,12 @@
 	source    source
 	seeds     atomic.Pointer[[]netip.AddrPort]
 	// puller pulls the state on an entry host.
-	puller  *puller.Puller
-	entry   *entry
-	control *control
-	metrics *http.Server
+	puller *puller.Puller
+	// dialTarget opens connections to targets.
+	dialTarget sender.DialFunc
+	entry      *entry
+	control    *control
+	metrics    *http.Server
 
 	stopping atomic.Bool
 	stopOnce sync.Once
@@ -95,8 +98,16 @@
 	done     chan struct{}
 }
 
+// Option changes a Director at its construction.
+type Option func(*Director)
+
+// WithTargetDialer sets the function that opens connections to targets, instead of a net.Dialer.
+func WithTargetDialer(dial sender.DialFunc) Option {
+	return func(d *Director) { d.dialTarget = dial }
+}
+
 // New returns a host that has not started. Log lines go to out.
-func New(settings settingsreader.Settings, protocol Protocol, out io.Writer) (*Director, error) {
+func New(settings settingsreader.Settings, protocol Protocol, out io.Writer, opts ...Option) (*Director, error) {
 	if settings.Direct == nil {
 		return nil, errors.New("settings have no section [direct]")
 	}
@@ -105,6 +116,11 @@
 		protocol: protocol,
 		logs:     logger.NewWriter(out),
 		done:     make(chan struct{}),
+
+		dialTarget: (&net.Dialer{}).DialContext,
+	}
+	for _, o := range opts {
+		o(&d)
 	}
 	var err error
 	if d.log, err = logger.New(d.logs, settings.LogLevel, settings.LogFormat, settings.Name); err != nil {
--- a/director/entry.go
+++ b/director/entry.go
@@ -99,7 +99,7 @@
 				Decode: d.decode,
 			},
 		},
-		sender: sender.New(nil),
+		sender: sender.New(d.dialTarget),
 		selector: &selector.Selector{
 			DataCentre: s.DataCentre,
 		},
