--- a/router/accept_test.go
+++ b/router/accept_test.go
@@ -14,6 +14,7 @@
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/keyer"
 	"bramleyline.example/bramleyline/locator"
+	"bramleyline.example/bramleyline/signer"
 )
 
 // Guards against a refusal without its outcome, and against a refused request that still reaches the target.
@@ -94,7 +95,7 @@
 func TestPeerRequestsNeedASignature(t *testing.T) {
 	c := qt.New(t)
 	s := newTestSystem(t, func(http.ResponseWriter, *http.Request) {})
-	for _, sum := range []string{"", "00", s.routers[1].signer.sign(nil, "tally")} {
+	for _, sum := range []string{"", "00", s.routers[1].signer.Sign(nil, "tally")} {
 		req, _ := http.NewRequest("POST", s.peerServers[0].URL+"/x", nil)
 		for name, v := range map[string]string{
 			"Service": "tally", "Hops": "1", "Deadline": "1000", "Epoch": "1", "Request": "b-1", "Key": "picker7", "Signature": sum,
@@ -107,7 +108,7 @@
 		c.Assert(resp.Header.Get("Bramleyline-Outcome"), qt.Equals, "notRun")
 		_ = resp.Body.Close()
 	}
-	s.routers[1].signer = newSigner("another key")
+	s.routers[1].signer = signer.New("another key")
 	a := s.call(1, "POST", "/tally", "")
 	c.Assert(a.status, qt.Equals, 401, qt.Commentf("%+v", a))
 	c.Assert(a.outcome, qt.Equals, "notRun")
--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,7 @@
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/reporter"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/signer"
 )
 
 // Options configures a Router: the host that it runs on and the sources of its configuration and routes.
@@ -55,7 +56,7 @@
 	identityCount  atomic.Uint64
 	sender         *sender.Sender
 	dispatcher     *dispatcher.Dispatcher
-	signer         *signer
+	signer         *signer.Signer
 	watch          watcher
 	services       serviceStates
 	admission      admission
@@ -82,7 +83,7 @@
 			Sketch:  opts.Sketch,
 			Log:     opts.Log,
 		}),
-		signer: newSigner(opts.PeerKey),
+		signer: signer.New(opts.PeerKey),
 		watch: watcher{
 			current: opts.Locator,
 		},
