Serve callers through another host while links to targets are lost

Cause: a host had no other way to a target than its own links, and found out target by target, 0.5 s each, that these were gone. Change: when an attempt fails, or no target answers for 0.4 s while requests are in progress, a host opens connections to five targets of different data centres (detector). If none accepts within 0.3 s its links are lost: it passes requests to other entry hosts (relayer) on their peer address, signed, with their age, until most of a sample accept again. Hosts that have links are known from asking six each 0.4 s, and of two that are drawn the less loaded takes the request. A host without links declines, and nothing is passed on twice. The other host serves the request as one of its own callers' (receiver), so that limits, cold shares and retries count there only. Bodies stay in the region. If no host has links, requests are rejected at once. When links return, failures of the time without are forgotten. Why it works: the other hosts' links do not depend on those of this one, and a sample of targets tells its links from theirs.

--- a/director/director.go
+++ b/director/director.go
@@ -326,6 +326,9 @@
 		Control:     d.settings.Roles.Control,
 		RPC:         d.settings.Listen.RPC,
 	}
+	if d.entry != nil {
+		h.Peer = d.settings.Listen.Peer
+	}
 	if d.control != nil {
 		h.Name, h.Announce = d.control.name, d.settings.Direct.Control
 	}
--- a/director/entry.go
+++ b/director/entry.go
@@ -72,6 +72,7 @@
 	limiter  *limiter.Limiter
 	acceptor *acceptor.Acceptor
 	ready    *http.Server
+	links    *entryLinks
 
 	mu      sync.Mutex
 	view    *viewer.View
@@ -116,30 +117,35 @@
 	})
 	rec := &recorder.Recorder{}
 	rec.Publish(s.Name)
+	e.links = newEntryLinks(e)
+	f := forwarder.New(forwarder.Options{
+		View:        e.currentView,
+		Codec:       d.protocol.Codec,
+		Sender:      e.sender,
+		Selector:    e.selector,
+		Limiter:     e.limiter,
+		Recorder:    rec,
+		Log:         d.log,
+		ViewAge:     e.stateAge,
+		Meter:       &e.meter,
+		Quarantiner: &e.suspects,
+		Links:       e.links.detector,
+		Relay:       e.links.relayer.Relay,
+		Limits: forwarder.Limits{
+			RetryShare: retrySafety * s.Direct.RetryShare,
+			RetrySlack: retrySafety * s.Direct.RetrySlack,
+			Restarted:  !s.Direct.Bootstrap,
+			ColdFactor: s.Direct.ColdFactor,
+			ColdSlack:  s.Direct.ColdSlack,
+			DrainTime:  time.Duration(drainShare * float64(s.Direct.DrainTime)),
+			OutTime:    time.Duration(outShare * float64(s.Direct.OutTime)),
+		},
+	})
 	e.acceptor = &acceptor.Acceptor{
-		Handler: forwarder.New(forwarder.Options{
-			View:        e.currentView,
-			Codec:       d.protocol.Codec,
-			Sender:      e.sender,
-			Selector:    e.selector,
-			Limiter:     e.limiter,
-			Recorder:    rec,
-			Log:         d.log,
-			ViewAge:     e.stateAge,
-			Meter:       &e.meter,
-			Quarantiner: &e.suspects,
-			Limits: forwarder.Limits{
-				RetryShare: retrySafety * s.Direct.RetryShare,
-				RetrySlack: retrySafety * s.Direct.RetrySlack,
-				Restarted:  !s.Direct.Bootstrap,
-				ColdFactor: s.Direct.ColdFactor,
-				ColdSlack:  s.Direct.ColdSlack,
-				DrainTime:  time.Duration(drainShare * float64(s.Direct.DrainTime)),
-				OutTime:    time.Duration(outShare * float64(s.Direct.OutTime)),
-			},
-		}),
-		Limits: e.currentLimits,
+		Handler: f,
+		Limits:  e.currentLimits,
 	}
+	e.links.handler = f.HandleRelayed
 	caller, err := net.Listen("tcp", s.Listen.Caller.String())
 	if err != nil {
 		return errors.Wrap(err, "caller address")
@@ -149,6 +155,11 @@
 		_ = caller.Close()
 		return errors.Wrap(err, "ready address")
 	}
+	if err := e.links.listen(); err != nil {
+		_ = caller.Close()
+		_ = ready.Close()
+		return err
+	}
 	d.entry = e
 	e.ready = &http.Server{
 		Handler:           http.HandlerFunc(e.serveReady),
@@ -318,11 +329,13 @@
 func (e *entry) stop(ctx context.Context) {
 	began := timekeeper.Now()
 	e.acceptor.Drain()
+	e.links.acceptor.Drain()
 	select {
 	case <-time.After(balancerTime):
 	case <-ctx.Done():
 	}
 	err := e.acceptor.Finish(ctx)
+	e.links.stop(ctx)
 	e.sender.Close()
 	_ = e.ready.Close()
 	_ = e.d.puller.Close()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -31,7 +31,13 @@
 	defer func() { sel.End(time.Now(), t.Incarnation, res) }()
 
 	tracked := x.trackAttempt(t, start)
+	if l := x.f.opts.Links; l != nil {
+		l.Begin(start)
+	}
 	resp, body, fault := x.send(ctx, t, start)
+	if l := x.f.opts.Links; l != nil {
+		l.End(time.Now(), fault == nil)
+	}
 	if fault != nil {
 		tracked.failed(fault)
 		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -26,6 +26,8 @@
 	reasonDeadline    = "deadline"
 	reasonUnknown     = "outcomeUnknown"
 	reasonSuspect     = "suspect"
+	// reasonNoLinks means that this host has lost its links to targets, and no other host is known to have any.
+	reasonNoLinks = "noLinks"
 	reasonCallerLeft  = "callerLeft"
 )
 
@@ -81,6 +83,8 @@
 	deadline time.Time
 	// header holds the end-to-end headers of the caller, which are forwarded to targets.
 	header http.Header
+	// relayed is true if another host passed the request on.
+	relayed bool
 	// fingerprint is the hash of the request, zero until it is computed.
 	fingerprint uint64
 
@@ -143,13 +147,16 @@
 		x.lastErr = "request has no key"
 		return x.fail(http.StatusBadRequest, reasonBadRequest)
 	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	if x.mayRelay() && x.f.opts.Links.Lost() {
+		return x.relay(ctx)
+	}
 	x.header = forwardedHeader(x.req.Header, x.f.opts.Codec.Own)
 	x.f.retryBudget(name).Deposit(x.f.opts.Limits.RetryShare)
 	if x.service.Keyed && x.f.opts.Meter != nil {
 		x.f.opts.Meter.RecordDemand(name, x.call.Key, x.f.serviceTime(route.Name).expected())
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	defer cancel()
 	return x.runAttempts(ctx)
 }
 
@@ -176,6 +183,9 @@
 		if ctx.Err() != nil {
 			return x.contextEnded(ctx)
 		}
+		if x.relayAfterFailure(ctx) {
+			return x.relay(ctx)
+		}
 		if !retry || x.possibleRuns >= max(1, x.route.MaxAttempts) || x.attempts >= maxTotalAttempts ||
 			time.Until(x.deadline) < minAttemptTime {
 			return x.giveUp(x.result, x.retryAfter)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,10 @@
 	ViewAge func() time.Duration
 	// Quarantiner detects requests that crash their targets; it may be nil.
 	Quarantiner *quarantiner.Quarantiner
+	// Links tells whether this host has lost its links to targets, and Relay passes a request to another host then. Both may
+	// be nil.
+	Links Links
+	Relay func(ctx context.Context, r *acceptor.Request, deadline time.Time) (*acceptor.Answer, *sender.Fault)
 	// Meter receives the demand and the observed times of keyed services; it may be nil.
 	Meter Meter
 	// Limits bounds retries, requests to cold targets and requests to owners that are leaving.
@@ -119,6 +123,17 @@
 	return x.run(ctx)
 }
 
+// HandleRelayed forwards a request that another host passed on. It is not passed on again.
+func (f *Forwarder) HandleRelayed(ctx context.Context, r *acceptor.Request) *acceptor.Answer {
+	x := exchange{
+		f:       f,
+		req:     r,
+		relayed: true,
+	}
+	defer x.release()
+	return x.run(ctx)
+}
+
 func (f *Forwarder) retryBudget(service string) *retrier.Budget {
 	if b, ok := f.retryBudgets.Load(service); ok {
 		return b.(*retrier.Budget)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -264,6 +264,16 @@
 	return !t.Draining && !t.Out
 }
 
+// ForgetFailures forgets the attempts that failed, because they were the fault of this host's links.
+func (s *Selector) ForgetFailures() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range s.stats {
+		st.unanswered, st.failureRate = 0, 0
+		st.backoffUntil, st.nextProbeAt = time.Time{}, time.Time{}
+	}
+}
+
 // Begin records the start of an attempt at a target.
 func (s *Selector) Begin(now time.Time, inc registrar.Incarnation) {
 	s.mu.Lock()
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -185,6 +185,17 @@
 	return closed
 }
 
+// closeIdle closes the idle connections.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
 // close closes the idle connections; those in use are closed when they are released.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -175,6 +175,14 @@
 	})
 }
 
+// CloseIdle closes all idle connections. Attempts in progress continue.
+func (s *Sender) CloseIdle() {
+	s.pools.Range(func(_, p any) bool {
+		p.(*pool).closeIdle()
+		return true
+	})
+}
+
 // Trim closes connections that, at now, were idle for longer than maxIdleTime, and drops the pools of addresses without
 // connections. The idle connections to a target that no longer exists would otherwise stay open for ever.
 func (s *Sender) Trim(now time.Time) {
--- a/settingsreader/direct.go
+++ b/settingsreader/direct.go
@@ -33,6 +33,10 @@
 	Ready   netip.AddrPort
 	Control netip.AddrPort
 	Metrics netip.AddrPort
+	// Region is the region of this host, and Regions that of each data centre by name. Requests are passed only to hosts of
+	// the same region; without them, to any host.
+	Region  string
+	Regions map[string]string
 	// Seeds are the Control addresses of some control hosts. Their rpc port is the same as that of this host.
 	Seeds []netip.AddrPort
 	// Bootstrap says that the whole system starts for the first time, so that the seeds form (found) the control group.
@@ -62,10 +66,10 @@
 func knownDirectSettings() map[string][]string {
 	return map[string][]string{
 		"host":   {"name", "dataCentre", "roles", "dataFolder", "logLevel", "logFormat", "dispatch", "memory"},
-		"listen": {"caller", "ready", "control", "rpc", "metrics"},
+		"listen": {"caller", "ready", "control", "rpc", "peer", "metrics"},
 		"direct": {
 			"seeds", "found", "hostLosses", "hold", "drainTime", "outTime", "grace", "retryShare", "retrySlack",
-			"coldFactor", "coldSlack",
+			"coldFactor", "coldSlack", "region", "regions",
 		},
 		"keys":    {"system", "systemFile"},
 		"network": {"translation"},
@@ -104,7 +108,28 @@
 		RetrySlack: r.readNumber("direct", "retrySlack", 0),
 		ColdFactor: r.readNumber("direct", "coldFactor", 1),
 		ColdSlack:  r.readNumber("direct", "coldSlack", 0),
+		Regions:    r.readRegions(),
 	}
+	r.settings.Direct.Region, _ = r.value("direct", "region")
+	r.settings.Listen.Peer = r.readListenAddr("peer", false, false)
+	if rpc := r.settings.Listen.RPC; entry && !r.settings.Listen.Peer.IsValid() && rpc.IsValid() && rpc.Port() < math.MaxUint16 {
+		r.settings.Listen.Peer = netip.AddrPortFrom(rpc.Addr(), rpc.Port()+1)
+	}
+}
+
+// readRegions reads the optional list of data centres with their regions.
+func (r *reader) readRegions() map[string]string {
+	regions := make(map[string]string)
+	v, _ := r.value("direct", "regions")
+	for _, part := range parser.List(v) {
+		dataCentre, region, ok := strings.Cut(part, "=")
+		if !ok || dataCentre == "" || region == "" {
+			r.addFinding("direct", "regions", "regions: %q wants the form DATACENTRE=REGION", part)
+			continue
+		}
+		regions[dataCentre] = region
+	}
+	return regions
 }
 
 func (r *reader) hasKeyFile() bool {
--- a/viewer/quarantine.go
+++ b/viewer/quarantine.go
@@ -38,26 +38,3 @@
 	}
 	return true, t.Draining
 }
-
-// Others returns up to n targets beside t that do not drain: of the data centre of t, or of others if it has none.
-func (v *View) Others(t *Target, n int) []Target {
-	if v == nil || v.snapshot == nil {
-		return nil
-	}
-	var local, remote []Target
-	for _, o := range v.snapshot.registry.Targets().All() {
-		switch {
-		case len(local) >= n:
-			return local
-		case o.ID == t.ID || o.Addr == t.Addr || o.Draining || !o.Addr.IsValid():
-		case o.DataCentre == t.DataCentre:
-			local = append(local, v.snapshot.target(o))
-		case len(remote) < n:
-			remote = append(remote, v.snapshot.target(o))
-		}
-	}
-	if len(local) > 0 {
-		return local
-	}
-	return remote
-}
