--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -27,8 +27,8 @@
 	reasonUnknown     = "outcomeUnknown"
 	reasonSuspect     = "suspect"
 	// reasonNoLinks means that this host has lost its links to targets, and no other host is known to have any.
-	reasonNoLinks = "noLinks"
-	reasonCallerLeft  = "callerLeft"
+	reasonNoLinks    = "noLinks"
+	reasonCallerLeft = "callerLeft"
 )
 
 const (
