Do not take a repeated rejection for the answer to the next attempt

Cause: a request that a target rejects is sent to it again with the same identity, mostly on the same connection. The identity in an answer tells requests apart, not attempts, so the same rejection written once more was taken for the answer to the second attempt. Change: a connection that last carried an identity does not carry it again, in both ways of dispatch. Why it works: what arrives late or twice on the old connection can meet only other requests, whose identities differ.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -255,6 +255,8 @@
 		Identity:    j.Identity,
 		Deadline:    j.Deadline,
 		Connections: j.Service.Limits.TargetConnections,
+
+		UniqueIdentity: true,
 		Check: func() error {
 			if f := d.check(j); f != nil {
 				return f
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -128,6 +128,8 @@
 		Deadline:     x.deadline,
 		Connections:  x.maxConnections(),
 		SettleTime:   settleTime,
+
+		UniqueIdentity: true,
 	})
 	if fault != nil {
 		return nil, nil, fault
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -35,7 +35,7 @@
 	a.stop = context.AfterFunc(a.ctx, func() {
 		_ = conn.SetDeadline(aLongTimeAgo)
 	})
-	c.written = 0
+	c.written, c.identity = 0, r.Identity
 	head, body := appendHead(c.buf[:0], r), r.Body
 	if len(body) <= maxInlineBody {
 		head, body = append(head, body...), nil
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -35,6 +35,8 @@
 	written int64
 	// readErr is the last error of Read. The HTTP parser hides it: it reports a header that ends early as malformed.
 	readErr error
+	// identity is that of the last request.
+	identity string
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// keepAlive is how long the target keeps an idle connection open according to its Keep-Alive header, less
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -31,15 +31,16 @@
 }
 
 // acquire waits until fewer than limit connections are in use, and takes a token. It returns an idle connection that is
-// still usable, or nil if there is none and the caller has to dial.
-func (p *pool) acquire(ctx context.Context, limit int) (*conn, error) {
+// still usable, or nil if there is none and the caller has to dial. A connection that last carried the identity unique,
+// unless that is empty, is closed.
+func (p *pool) acquire(ctx context.Context, limit int, unique string) (*conn, error) {
 	c, err := p.acquireToken(ctx, limit)
 	if err != nil {
 		return nil, err
 	}
 	for {
 		if c != nil {
-			if c.withinKeepAlive(time.Now()) && c.alive() {
+			if (unique == "" || c.identity != unique) && c.withinKeepAlive(time.Now()) && c.alive() {
 				return c, nil
 			}
 			_ = c.Close()
--- a/sender/pool_test.go
+++ b/sender/pool_test.go
@@ -17,7 +17,7 @@
 	p := pool{}
 	var inUse []*conn
 	for range limit {
-		_, err := p.acquire(context.Background(), limit)
+		_, err := p.acquire(context.Background(), limit, "")
 		c.Assert(err, qt.IsNil)
 		near, far := net.Pipe()
 		defer far.Close()
@@ -26,7 +26,7 @@
 	got := make(chan *conn, limit)
 	for range limit {
 		go func() {
-			cn, _ := p.acquire(context.Background(), limit)
+			cn, _ := p.acquire(context.Background(), limit, "")
 			got <- cn
 		}()
 	}
@@ -50,13 +50,13 @@
 func TestTokenOfAnAbandonedWaitIsPassedOn(t *testing.T) {
 	c := qt.New(t)
 	p := pool{}
-	_, err := p.acquire(context.Background(), 1)
+	_, err := p.acquire(context.Background(), 1, "")
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err = p.acquire(ctx, 1)
+	_, err = p.acquire(ctx, 1, "")
 	c.Assert(err, qt.Equals, context.Canceled)
 	p.release(nil)
-	_, err = p.acquire(context.Background(), 1)
+	_, err = p.acquire(context.Background(), 1, "")
 	c.Assert(err, qt.IsNil)
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -41,6 +41,9 @@
 	// Identity is the value that the answer must repeat in the header EchoHeader, by default Bramleyline-Request.
 	Identity   string
 	EchoHeader string
+	// UniqueIdentity says that only attempts of one request have the same Identity. A connection that last carried it is not
+	// used again then: should the answer arrive there once more, it would be taken for that to this attempt.
+	UniqueIdentity bool
 	// EchoOptional allows an answer without that header; an answer with another identity is never accepted.
 	EchoOptional bool
 	// Undelimited allows an answer without a length, whose body ends with the connection.
@@ -145,7 +148,11 @@
 		default:
 		}
 		p := s.pool(r.Addr)
-		c, err := p.acquire(ctx, r.Connections)
+		unique := ""
+		if r.UniqueIdentity {
+			unique = r.Identity
+		}
+		c, err := p.acquire(ctx, r.Connections, unique)
 		if err == nil || !errors.Is(err, ErrClosed) {
 			return p, c, err
 		}
