Give the targets of a host without links to others in delegated dispatch

What callers saw (by reading; no record): while a dispatching host could not open connections to its targets, but their heartbeats still arrived, requests for them failed; only targets that fall silent got another host, when their leases lapsed. Change: the detector of direct dispatch watches the attempts of the dispatcher as well; a host without links says so in its reports, and the authority gives its targets to the other hosts of the data centre, as at a planned stop, until the links return. Why it works: requests go to the dispatching host anyway, so nothing else has to know. Not shown with processes.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -23,6 +23,8 @@
 	// probeSize is the number of targets in a sample. None of them accepts a connection by chance only where most targets
 	// are lost.
 	probeSize = 5
+	// minSample is the least number of targets that can tell lost links from a lost target.
+	minSample = 2
 	// soundTime is how long a probe that found links holds: failures in that time are those of targets.
 	soundTime = 250 * time.Millisecond
 	// returnInterval is the time between two probes of a host that has lost its links.
@@ -103,6 +105,13 @@
 	}
 }
 
+// Failed records a failure that may be that of a target or that of all links, and starts a probe.
+func (d *Detector) Failed(now time.Time) {
+	if !d.Lost() {
+		d.startProbe(now)
+	}
+}
+
 // Check is called after a failure that may be that of a target or that of all links. It reports whether this host has lost
 // its links, and waits for a probe if it has not just been made.
 func (d *Detector) Check(ctx context.Context) bool {
@@ -146,7 +155,7 @@
 // probe decides whether the links are lost: none of a sample of targets accepts a connection.
 func (d *Detector) probe() {
 	accepted, tried := d.try()
-	if accepted > 0 || tried == 0 || d.ctx.Err() != nil {
+	if accepted > 0 || tried < minSample || d.ctx.Err() != nil {
 		d.mu.Lock()
 		d.soundAt = time.Now()
 		d.mu.Unlock()
@@ -156,7 +165,7 @@
 	d.wg.Go(d.awaitReturn)
 }
 
-// awaitReturn probes until most targets of a sample accept connections again.
+// awaitReturn probes until most targets of a sample accept connections again, or none is known any more.
 func (d *Detector) awaitReturn() {
 	ticker := time.NewTicker(returnInterval)
 	defer ticker.Stop()
@@ -166,7 +175,7 @@
 			return
 		case <-ticker.C:
 		}
-		if accepted, tried := d.try(); accepted > 0 && 2*accepted > tried {
+		if accepted, tried := d.try(); tried == 0 || 2*accepted > tried {
 			d.mu.Lock()
 			d.soundAt = time.Now()
 			d.mu.Unlock()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,6 +41,15 @@
 	Top() map[string]uint32
 }
 
+// Links notices the loss of a host's links to targets from its attempts.
+type Links interface {
+	// Begin and End record an attempt, and whether the target answered it. Failed records one that failed for lack of a
+	// connection.
+	Begin(now time.Time)
+	End(now time.Time, answered bool)
+	Failed(now time.Time)
+}
+
 // Options configures a Dispatcher.
 type Options struct {
 	Locator *locator.Current
@@ -49,6 +58,8 @@
 	Quarantiner *quarantiner.Quarantiner
 	// Sketch returns a new Sketch for one incarnation of a target. If it is nil, hot keys are not reported.
 	Sketch func() Sketch
+	// Links notices the loss of this host's links to targets; it may be nil.
+	Links Links
 	// Log receives the changes of limits that targets state; it may be nil.
 	Log *log.Logger
 }
@@ -244,6 +255,9 @@
 	}
 	req := j.suspectID()
 	run := l.quarantine.Begin(req)
+	if d.opts.Links != nil {
+		d.opts.Links.Begin(start)
+	}
 	resp, fault := d.opts.Sender.Send(ctx, &sender.Request{
 		Addr:        j.Route.Addr,
 		Method:      j.Method,
@@ -268,6 +282,7 @@
 			return nil
 		},
 	})
+	d.observeLinks(fault)
 	if fault == nil {
 		if limit, logDue := l.observeLimit(resp.Header); logDue && d.opts.Log != nil {
 			d.opts.Log.Info("limit of target", "target", l.id.target, "service", l.id.service, "limit", limiter.Text(limit))
@@ -284,6 +299,18 @@
 	return resp, nil
 }
 
+// observeLinks passes the end of an attempt to Links. An answer shows links once its header has arrived.
+func (d *Dispatcher) observeLinks(f *sender.Fault) {
+	if d.opts.Links == nil {
+		return
+	}
+	now := time.Now()
+	d.opts.Links.End(now, f == nil)
+	if f != nil && (f.Reason == sender.ReasonUnreachable || f.Severed) {
+		d.opts.Links.Failed(now)
+	}
+}
+
 // parseRejection returns a fault in place of an answer whose headers state that the target did not run the request.
 func parseRejection(resp *sender.Response) (*sender.Response, *sender.Fault) {
 	switch resp.Status {
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -71,6 +71,8 @@
 	tableVersion uint64
 	// stopping is true once the host reported a planned stop.
 	stopping bool
+	// noLinks is true while the host reports that it has lost its links to targets.
+	noLinks bool
 	// lease is the dispatch lease that this authority granted.
 	lease leaser.Granter
 }
@@ -293,6 +295,7 @@
 	}
 	h.reportedAt = g.now
 	h.stopping = h.stopping || m.Leaving
+	h.noLinks = m.NoLinks
 	for _, t := range m.Targets {
 		g.updateTarget(m, t)
 	}
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -31,6 +31,8 @@
 	releasing map[keyer.Slot]time.Time
 	answers   []reporter.GrantMsg
 	loads     []reporter.LoadMsg
+	// noLinks says that host 0 reports that it has lost its links to targets.
+	noLinks bool
 }
 
 func newHarness(targets, slots int) *harness {
@@ -80,7 +82,7 @@
 // requested.
 func (r *harness) hostReport(i int) reporter.ReportMsg {
 	name := fmt.Sprint("h", i)
-	m := reporter.ReportMsg{Host: name, Incarnation: 1, TableVersion: r.versions[i], Loads: r.loads}
+	m := reporter.ReportMsg{Host: name, Incarnation: 1, TableVersion: r.versions[i], Loads: r.loads, NoLinks: r.noLinks && i == 0}
 	for n, t := range r.targets {
 		host, ok := r.hosts[t.Name]
 		if ok && host != name || !ok && n%2 != i {
--- a/granter/membership.go
+++ b/granter/membership.go
@@ -107,27 +107,32 @@
 	g.balanceHosts(targets, targetCounts)
 }
 
-// availableHosts returns a zero count for each live host that may get targets. A host with a planned stop is one of
-// them only if all live hosts have one.
+// unfit reports whether the targets of the host should go to other hosts.
+func (h *host) unfit() bool {
+	return h.stopping || h.noLinks
+}
+
+// availableHosts returns a zero count for each live host that may get targets. An unfit one is among them only if all live
+// hosts are unfit.
 func (g *Granter) availableHosts() map[string]int {
 	targetCounts := make(map[string]int)
-	stopping := make(map[string]int)
+	unfit := make(map[string]int)
 	for name, h := range g.hosts {
 		switch {
 		case !g.live(name):
-		case h.stopping:
-			stopping[name] = 0
+		case h.unfit():
+			unfit[name] = 0
 		default:
 			targetCounts[name] = 0
 		}
 	}
 	if len(targetCounts) == 0 {
-		return stopping
+		return unfit
 	}
 	return targetCounts
 }
 
-// evacuate removes the targets from hosts with a planned stop. The next host gets a target only when the former one has
+// evacuate removes the targets from unfit hosts. The next host gets a target only when the former one has
 // the version of the table without it, so that two hosts never dispatch to it.
 func (g *Granter) evacuate(targets []*target, available map[string]int) {
 	for _, t := range targets {
@@ -135,7 +140,7 @@
 			continue
 		}
 		h, ok := g.hosts[t.host]
-		if _, stays := available[t.host]; stays || !ok || !h.stopping {
+		if _, stays := available[t.host]; stays || !ok || !h.unfit() {
 			continue
 		}
 		t.version = g.nextVersion()
--- a/participant/notify.go
+++ b/participant/notify.go
@@ -122,6 +122,14 @@
 	return reply, err
 }
 
+// SetNoLinks tells the authority whether this host has lost its links to targets, so that it gives them to other hosts.
+func (p *Participant) SetNoLinks(lost bool) {
+	p.post(func(time.Time) {
+		p.tracker.NoLinks = lost
+		p.reportNow()
+	})
+}
+
 // BeginStop requests that the authority gives this host's targets to other hosts, before a planned stop.
 func (p *Participant) BeginStop() {
 	p.post(func(time.Time) {
--- a/reporter/report.go
+++ b/reporter/report.go
@@ -21,6 +21,8 @@
 	ConfigVersion uint64
 	// Leaving is true if the host has a planned stop and its targets should be moved to other hosts.
 	Leaving bool
+	// NoLinks is true while the host has lost its links to targets, so that others should dispatch to its own.
+	NoLinks bool
 	// LeaderContact is true if the host got an answer from the control leader within the authority lease.
 	LeaderContact bool
 	Targets       []TargetMsg
--- a/router/router.go
+++ b/router/router.go
@@ -43,6 +43,8 @@
 	Seed uint64
 	// Sketch creates the heavy-hitter sketch that finds the hot keys of one target; nil means none.
 	Sketch func() dispatcher.Sketch
+	// Links notices the loss of this host's links to targets; it may be nil.
+	Links dispatcher.Links
 	// Log receives changes of the limits that targets state; it may be nil.
 	Log *log.Logger
 	// Dial makes connections to targets and hosts; nil means a plain net.Dialer.
@@ -81,6 +83,7 @@
 			Locator: opts.Locator,
 			Sender:  s,
 			Sketch:  opts.Sketch,
+			Links:   opts.Links,
 			Log:     opts.Log,
 		}),
 		signer: signer.New(opts.PeerKey),
--- a/server/components.go
+++ b/server/components.go
@@ -128,6 +128,7 @@
 	}
 	s.participant = p
 	s.current = p.Current()
+	s.links = s.newLinks()
 	s.router = router.New(router.Options{
 		Host:       s.settings.Name,
 		DataCentre: s.settings.DataCentre,
@@ -137,6 +138,7 @@
 		Dial:       s.dial,
 		PeerTLS:    s.certifier.Client,
 		Sketch:     newSketch,
+		Links:      s.links,
 		Log:        s.logger,
 	})
 	p.SetTraffic(s.router.Traffic())
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"bramleyline.example/bramleyline/certifier"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/controller"
+	"bramleyline.example/bramleyline/detector"
 	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/logger"
 	"bramleyline.example/bramleyline/messenger"
@@ -58,6 +59,7 @@
 	proposer    *proposer.Proposer
 	participant *participant.Participant
 	router      *router.Router
+	links       *detector.Detector
 	operator    *operator.Operator
 	current     *locator.Current
 	caller      *httpListener
--- a/server/stop.go
+++ b/server/stop.go
@@ -64,6 +64,7 @@
 	if s.announce != nil {
 		s.announce.kill()
 	}
+	s.links.Close()
 	_ = s.participant.Close()
 	if s.puller != nil {
 		_ = s.puller.Close()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -27,6 +27,8 @@
 	DataCentre  string
 	// Leaving says that a planned stop of this host has begun.
 	Leaving bool
+	// NoLinks says that this host has lost its links to targets.
+	NoLinks bool
 	// Traffic is the state of the host's dispatchers; nil means no traffic.
 	Traffic reporter.Traffic
 
@@ -181,6 +183,7 @@
 		Incarnation:   t.Incarnation,
 		TableVersion:  t.tableVersion,
 		Leaving:       t.Leaving,
+		NoLinks:       t.NoLinks,
 		LeaderContact: t.lastTick.LeaderContact,
 	}
 	if t.lastTick.Config != nil {
