--- a/adjudicator/adjudicator.go
+++ b/adjudicator/adjudicator.go
@@ -213,9 +213,7 @@
 		listed = append(listed, fp)
 	}
 	slices.SortFunc(listed, func(x, y uint64) int { return a.since[x].Compare(a.since[y]) })
-	for _, fp := range listed[:min(excess, len(listed))] {
-		m.Remove = append(m.Remove, fp)
-	}
+	m.Remove = append(m.Remove, listed[:min(excess, len(listed))]...)
 }
 
 // forget drops what was kept of requests that reg no longer lists. The next losses of such a request count from zero.
