Play poison requests and lost links in the soak

Requests that crash each target that runs them come again at all entry hosts, and entry hosts, also all, lose their links to targets: they hang, are refused, or are reset besides. The steps have random sources of their own. Each entry host has a link of its own to each target now, which cuts of hosts and data centres cut too, and each incarnation of a target has the address of the one before. From what targets received the checker counts poison requests in contact later than 3 s after the third crash (3 allowed); requests that run twice or are told not to have run are found as before.

--- a/director/director.go
+++ b/director/director.go
@@ -117,7 +117,10 @@
 		logs:     logger.NewWriter(out),
 		done:     make(chan struct{}),
 
-		dialTarget: (&net.Dialer{}).DialContext,
+		dialTarget: settings.Dialer(),
+	}
+	if d.dialTarget == nil {
+		d.dialTarget = (&net.Dialer{}).DialContext
 	}
 	for _, o := range opts {
 		o(&d)
--- a/director/entry.go
+++ b/director/entry.go
@@ -129,6 +129,7 @@
 		ViewAge:     e.stateAge,
 		Meter:       &e.meter,
 		Quarantiner: &e.suspects,
+		Dial:        d.dialTarget,
 		Links:       e.links.detector,
 		Relay:       e.links.relayer.Relay,
 		Limits: forwarder.Limits{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	ViewAge func() time.Duration
 	// Quarantiner detects requests that crash their targets; it may be nil.
 	Quarantiner *quarantiner.Quarantiner
+	// Dial opens connections to targets that show whether they listen; nil means a net.Dialer.
+	Dial sender.DialFunc
 	// Links tells whether this host has lost its links to targets, and Relay passes a request to another host then. Both may
 	// be nil.
 	Links Links
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -107,7 +108,7 @@
 		a.tracker.Remove(a.run)
 	default:
 		a.tracker.Interrupted(a.run, f.Severed, time.Now())
-		if f.Severed && !listens(a.target) && a.x.reaches(a.target) {
+		if f.Severed && !a.x.listens(a.target) && a.x.reaches(a.target) {
 			a.x.f.opts.Log.Info("target lost while it ran a request", "request", a.x.call.ID, "fingerprint", a.x.fingerprint,
 				"target", a.target.ID, "service", a.x.service.Name)
 			a.x.f.opts.Quarantiner.Lost(a.x.service.Name, a.target.ID, uint64(a.target.Born.UnixMilli()), time.Now())
@@ -147,30 +148,30 @@
 func (x *exchange) reaches(t *viewer.Target) bool {
 	v, _ := x.f.opts.View()
 	for _, o := range v.Others(t, maxNeighbours) {
-		if accepts(&o) {
+		if x.connect(&o) == nil {
 			return true
 		}
 	}
 	return false
 }
 
-// accepts reports whether t accepts a connection in time.
-func accepts(t *viewer.Target) bool {
-	conn, err := net.DialTimeout("tcp", t.Addr.String(), dialTimeout)
+// connect opens and closes a connection to t.
+func (x *exchange) connect(t *viewer.Target) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dial := x.f.opts.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", t.Addr.String())
 	if err != nil {
-		return false
+		return err
 	}
-	_ = conn.Close()
-	return true
+	return conn.Close()
 }
 
 // listens reports whether t still accepts connections. After a severed connection this distinguishes a lost target from
 // a live one that only lost the answer. A target that cannot be reached in time counts as listening.
-func listens(t *viewer.Target) bool {
-	conn, err := net.DialTimeout("tcp", t.Addr.String(), dialTimeout)
-	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return true
+func (x *exchange) listens(t *viewer.Target) bool {
+	return !errors.Is(x.connect(t), syscall.ECONNREFUSED)
 }
--- a/platformemulator/platformemulator.go
+++ b/platformemulator/platformemulator.go
@@ -294,7 +294,7 @@
 	e.arrive(w)
 	poison := e.opts.PoisonPath != "" && strings.Contains(r.URL.Path, e.opts.PoisonPath)
 	if poison && e.opts.OnPoison != nil {
-		e.opts.OnPoison(req.ID, time.Now(), false)
+		e.opts.OnPoison(r.URL.Path, time.Now(), false)
 	}
 	if rand.Float64() < e.opts.RejectShare {
 		platform.Counterpart{}.Answer(w.Header(), req.ID, selector.Load{
@@ -310,7 +310,7 @@
 		return
 	}
 	if poison {
-		e.crash(req)
+		e.crash(r.URL.Path)
 	}
 	time.Sleep(e.opts.Work)
 	e.mu.Lock()
@@ -328,11 +328,11 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", e.opts.ID, r.URL.Path, body)
 }
 
-// crash ends the target because of the request req, which gets no answer. It does not return.
-func (e *Emulator) crash(req platform.TargetRequest) {
+// crash ends the target because of the request for path, which gets no answer. It does not return.
+func (e *Emulator) crash(path string) {
 	e.crashOnce.Do(func() {
 		if e.opts.OnPoison != nil {
-			e.opts.OnPoison(req.ID, time.Now(), true)
+			e.opts.OnPoison(path, time.Now(), true)
 		}
 		go e.Close()
 	})
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -82,13 +82,17 @@
 
 // send sends one request and returns the status of the answer, zero if no complete answer came.
 func (c *caller) send(ctx context.Context, entry string, key uint16) int {
+	return c.sendPath(ctx, entry, fmt.Sprintf("%s%s-%d", routePath, c.name, c.sent+1), key)
+}
+
+// sendPath sends one request for a path.
+func (c *caller) sendPath(ctx context.Context, entry, path string, key uint16) int {
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	path := routePath + id
 	// With a body of unknown length, which it cannot rewind, http.Client never resends the request by itself.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+path, io.NopCloser(strings.NewReader(id)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+path, io.NopCloser(strings.NewReader(path)))
 	if err != nil {
 		return 0
 	}
@@ -102,7 +106,7 @@
 		_ = resp.Body.Close()
 		if err == nil {
 			a.Status = resp.StatusCode
-			a.Whole = strings.HasSuffix(string(body), " "+path+" "+id)
+			a.Whole = strings.HasSuffix(string(body), " "+path+" "+path)
 		}
 	}
 	c.checker.recordAnswer(a)
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -27,6 +27,8 @@
 	readyPort   = 7802
 	controlPort = 7803
 	rpcPort     = 7804
+	// targetPort is the port of the first target; all targets share an address.
+	targetPort = 7900
 	// grace is the time from SIGTERM to SIGKILL, and the setting grace of each host.
 	grace = 5 * time.Second
 )
@@ -68,6 +70,14 @@
 	// entries and controls are the base URLs of entry hosts and control hosts, through the links from outside.
 	entries  []string
 	controls []string
+	// targets holds the addresses of the targets by their numbers.
+	targets []targetAddrs
+}
+
+// targetAddrs are the address on which all incarnations of a target listen, and that of the link that they announce.
+type targetAddrs struct {
+	listen    netip.AddrPort
+	announced netip.AddrPort
 }
 
 // fleetCount is the number of fleets that this process has made. It gives each fleet its own block of loopback
@@ -75,7 +85,7 @@
 var fleetCount atomic.Uint32
 
 // newFleet opens the links of all hosts. It starts no process.
-func newFleet(binary, folder string, entries int) (*fleet, error) {
+func newFleet(binary, folder string, entries, targets int) (*fleet, error) {
 	f := fleet{
 		binary:  binary,
 		folder:  folder,
@@ -98,9 +108,37 @@
 			return nil, err
 		}
 	}
+	for i := range targets {
+		if err := f.openTargetLinks(i, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(1 + block/250%250), byte(1 + block%250), 254}),
+			targetPort+uint16(i))); err != nil {
+			return nil, err
+		}
+	}
 	return &f, nil
 }
 
+// openTargetLinks opens the link to target i that it announces, and those by which the entry hosts reach it instead, each
+// of which may fail by itself.
+func (f *fleet) openTargetLinks(i int, listen netip.AddrPort) error {
+	name := targetName(i)
+	announced, err := f.network.Open("hosts", name, anyPort(), listen)
+	if err != nil {
+		return errors.Wrap(err, "link to target")
+	}
+	f.targets = append(f.targets, targetAddrs{
+		listen:    listen,
+		announced: announced,
+	})
+	for _, h := range f.hosts[controlHosts:] {
+		link, err := f.network.Open(h.name, name, anyPort(), listen)
+		if err != nil {
+			return errors.Wrap(err, "link to target")
+		}
+		h.translation = append(h.translation, announced.String()+">"+link.String())
+	}
+	return nil
+}
+
 func anyPort() netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 0) }
 
 // openExternalLink opens the link by which callers reach an entry host, or targets and operators a control host.
--- a/soaker/invariants.go
+++ b/soaker/invariants.go
@@ -33,6 +33,8 @@
 	drainedAt map[string]time.Time
 	// rateAuditors check the arrivals at each target, by target ID.
 	rateAuditors map[string]*rateauditor.Auditor
+	// poison holds what targets saw of each poison request, by path.
+	poison map[string]*poisonRecord
 	// inContactSince is the time since which all hosts have been in contact with each other. It may be in the future,
 	// and is zero while a host may be out of contact.
 	inContactSince time.Time
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -30,6 +30,8 @@
 	kindBabble  = "babble"        // the bodies of a target have no end
 	kindReload  = "reload"        // a host gets SIGHUP
 	kindLimit   = "limit"         // a target states limits in its answers
+	kindPoison  = "poison"        // callers send a request that crashes the targets that run it
+	kindStrand  = "strand"        // an entry host loses its links to all targets
 )
 
 const (
@@ -47,6 +49,11 @@
 	// meanExtraGap is the mean time between the steps that extraSteps draws, and meanLimitGap the same for limitSteps.
 	meanExtraGap = 4 * time.Second
 	meanLimitGap = 5 * time.Second
+	// meanPoisonGap and meanStrandGap are the same for poisonSteps and strandSteps, and minPoisonTime is the least time for
+	// which a poison request is sent: longer than the contact time.
+	meanPoisonGap = 8 * time.Second
+	meanStrandGap = 4 * time.Second
+	minPoisonTime = 6 * time.Second
 	// minLimitTime is the least time for which a target states a limit: longer than the contact time and the window of the
 	// rule together. It may be longer by maxRandomDuration.
 	minLimitTime = 7500 * time.Millisecond
@@ -61,12 +68,17 @@
 	// subject is the name of the host, target or data centre, empty for a step that concerns the whole system.
 	subject  string
 	duration time.Duration
+	// variant is the way in which a strand step cuts links.
+	variant string
 	// limits are the texts of the limits that a target states one after the other in a limit step.
 	limits []string
 }
 
 func (s step) String() string {
 	text := fmt.Sprintf("%6.2fs %-13s %-4s for %s", s.offset.Seconds(), s.kind, s.subject, s.duration.Round(10*time.Millisecond))
+	if s.variant != "" {
+		text += " " + s.variant
+	}
 	if len(s.limits) > 0 {
 		text += fmt.Sprintf(" %q", s.limits)
 	}
@@ -132,6 +144,8 @@
 	}
 	p = append(p, extraSteps(seed, length, entries, targets)...)
 	p = append(p, limitSteps(seed, length, targets)...)
+	p = append(p, poisonSteps(seed, length)...)
+	p = append(p, strandSteps(seed, length, entries)...)
 	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.offset, b.offset) })
 	return p
 }
@@ -181,3 +195,45 @@
 	}
 	return p
 }
+
+// poisonSteps draws the steps in which callers send a poison request, with a random source of its own.
+func poisonSteps(seed uint64, length time.Duration) plan {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var p plan
+	for offset := maxStepGap; offset < length; offset += time.Duration(rng.Int64N(int64(2 * meanPoisonGap))) {
+		p = append(p, step{
+			offset:   offset,
+			kind:     kindPoison,
+			duration: minPoisonTime + time.Duration(rng.Int64N(int64(maxRandomDuration))),
+		})
+	}
+	return p
+}
+
+// The variants of a strand step: connections hang, new ones are refused, or open ones are reset besides.
+const (
+	variantHang   = "hang"
+	variantRefuse = "refuse"
+	variantReset  = "reset"
+)
+
+// strandSteps draws the steps in which entry hosts lose their links to targets, with a random source of its own. Several may
+// be without links at the same time, also all.
+func strandSteps(seed uint64, length time.Duration, entries int) plan {
+	rng := rand.New(rand.NewPCG(seed, 6))
+	var p plan
+	for offset := maxStepGap; offset < length; offset += time.Duration(rng.Int64N(int64(2 * meanStrandGap))) {
+		s := step{
+			offset:   offset,
+			kind:     kindStrand,
+			duration: 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*maxRandomDuration))),
+			variant:  []string{variantHang, variantRefuse, variantReset}[rng.IntN(3)],
+		}
+		first, n := rng.IntN(entries), 1+rng.IntN(entries)
+		for i := range n {
+			s.subject = hostName(controlHosts + (first+i)%entries)
+			p = append(p, s)
+		}
+	}
+	return p
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -39,6 +39,11 @@
 	startTimeout = 60 * time.Second
 	// targetRestartDelay is the time between the end of a target and the start of its next incarnation.
 	targetRestartDelay = time.Second
+	// poisonPath marks the paths of requests that crash targets, and poisonGap is the pause between two of them.
+	poisonPath = "poison-"
+	poisonGap  = 150 * time.Millisecond
+	// allTargets is the pattern of the names of all targets.
+	allTargets = "?t*"
 	// slowPause and slowRun are the times for which a slow host is stopped and runs in turn, which makes it five times
 	// slower.
 	slowPause = 80 * time.Millisecond
@@ -101,7 +106,7 @@
 	fmt.Fprintf(s.opts.Out, "seed %d, %d entry hosts, %d targets, %d steps in %s:\n%s\n", s.opts.Seed, s.opts.Hosts, s.opts.Targets,
 		len(s.plan), s.opts.For, s.plan)
 	var err error
-	if s.fleet, err = newFleet(s.opts.Binary, s.opts.Folder, s.opts.Hosts); err != nil {
+	if s.fleet, err = newFleet(s.opts.Binary, s.opts.Folder, s.opts.Hosts, s.opts.Targets); err != nil {
 		return err
 	}
 	defer s.closeTargets()
@@ -177,8 +182,16 @@
 		Keyed:      true,
 		Controls:   s.fleet.controls,
 		Work:       serviceTime,
-		Advertise: func(listen netip.AddrPort) (netip.AddrPort, error) {
-			return s.fleet.network.Open("hosts", name, anyPort(), listen)
+		Listen:     s.fleet.targets[i].listen,
+		Advertise: func(netip.AddrPort) (netip.AddrPort, error) {
+			return s.fleet.targets[i].announced, nil
+		},
+		PoisonPath: poisonPath,
+		OnPoison: func(path string, at time.Time, crashed bool) {
+			s.checker.recordPoison(path, at, crashed)
+			if crashed {
+				go s.restartPoisoned(name)
+			}
 		},
 		OnArrival: s.checker.recordArrival,
 		OnRun:     func(m platformemulator.RunMsg) { s.checker.recordRun(m, drainTime) },
@@ -238,9 +251,12 @@
 // runStep runs one step from its beginning to its end.
 func (s *Soaker) runStep(ctx context.Context, st step) {
 	switch st.kind {
-	case kindTable, kindTakeout, kindDrain, kindCrash, kindBabble, kindLimit:
+	case kindTable, kindTakeout, kindDrain, kindCrash, kindBabble, kindLimit, kindPoison:
 		s.runChange(ctx, st)
 		return
+	case kindStrand:
+		s.strand(st)
+		return
 	}
 	s.beginDisruption()
 	defer s.endDisruption()
@@ -375,6 +391,24 @@
 	}
 }
 
+// strand cuts an entry host off from all targets. The host stays in contact with the others.
+func (s *Soaker) strand(st step) {
+	err := s.fleet.network.Set(st.subject, allTargets, injector.Fault{
+		Cut:    st.variant == variantHang,
+		Refuse: st.variant != variantHang,
+	})
+	if err == nil && st.variant == variantReset {
+		_, err = s.fleet.network.Reset(st.subject, allTargets)
+	}
+	if err == nil {
+		time.Sleep(st.duration)
+		err = s.fleet.network.Set(st.subject, allTargets, injector.Fault{})
+	}
+	if err != nil {
+		s.checker.reportViolation("step %s: %v", st, err)
+	}
+}
+
 // runChange runs a step in which the operator or a target acts. Hosts stay in contact during it.
 func (s *Soaker) runChange(ctx context.Context, st step) {
 	changeCtx, cancel := context.WithTimeout(ctx, s.opts.For+recoveryTimeout)
@@ -401,6 +435,8 @@
 		t.SetEndlessBodies(false)
 	case kindLimit:
 		s.stateLimits(st)
+	case kindPoison:
+		s.sendPoison(ctx, st)
 	case kindCrash:
 		err = s.restartTarget(st.subject, s.target(st.subject))
 	}
@@ -419,6 +455,25 @@
 	t.SetLimit("")
 }
 
+// sendPoison sends the same request to all entry hosts in turn. Each target that begins to run it crashes.
+func (s *Soaker) sendPoison(ctx context.Context, st step) {
+	c := newCaller(int(st.offset.Milliseconds()), s.opts.Seed, s.fleet.entries, &s.checker)
+	c.name = fmt.Sprintf("poison%d", st.offset.Milliseconds())
+	defer c.client.CloseIdleConnections()
+	key := uint16(c.rng.IntN(1 << 16))
+	for end := time.Now().Add(st.duration); ctx.Err() == nil && time.Now().Before(end); {
+		c.sendPath(ctx, c.entries[c.rng.IntN(len(c.entries))], routePath+poisonPath+st.offset.String(), key)
+		time.Sleep(poisonGap)
+	}
+}
+
+// restartPoisoned starts the next incarnation of a target that crashed under a request.
+func (s *Soaker) restartPoisoned(name string) {
+	if err := s.restartTarget(name, s.target(name)); err != nil {
+		s.checker.reportViolation("%s does not start: %v", name, err)
+	}
+}
+
 // restartTarget ends an incarnation of a target by a crash and starts the next one.
 func (s *Soaker) restartTarget(name string, t *platformemulator.Emulator) error {
 	t.Close()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -64,6 +64,15 @@
 			})
 			checker.recordRun(run("a", "r1", 1, 1, now), drainTime)
 		},
+		"after its third crash": func(checker *invariantChecker) {
+			checker.setInContactSince(now.Add(-time.Minute))
+			for range 3 {
+				checker.recordPoison("/x", now, true)
+			}
+			for i := range maxLatePoison + 1 {
+				checker.recordPoison("/x", now.Add(contactDelay+time.Duration(i+1)), false)
+			}
+		},
 		"under fence 1": func(checker *invariantChecker) {
 			checker.recordRun(run("a", "r1", 1, 2, now), drainTime)
 			checker.recordRun(run("b", "r2", 1, 1, now), drainTime)
