--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -49,6 +49,10 @@
 	a, fault := x.f.opts.Relay(ctx, x.req, x.deadline)
 	if fault == nil {
 		x.result = "relayed"
+		if a.Status >= http.StatusInternalServerError || x.f.onTimeAnswers.Add(1)%logSampleInterval == 0 {
+			x.f.opts.Log.Info("relayed", "request", x.call.ID, "route", x.routeName(), "key", x.keyText(), "status", a.Status,
+				"took", time.Since(x.req.Arrived).Milliseconds(), "index", x.index())
+		}
 		return a
 	}
 	x.lastErr = fault.Error()
