--- a/detector/detector.go
+++ b/detector/detector.go
@@ -211,11 +211,11 @@
 
 func (d *Detector) change(lost bool) {
 	d.lost.Store(lost)
-	name := "returns"
 	if lost {
-		name = "losses"
+		counters.Add("losses", 1)
+	} else {
+		counters.Add("returns", 1)
 	}
-	counters.Add(name, 1)
 	if d.opts.Log != nil {
 		d.opts.Log.Warn("links to targets", "lost", lost)
 	}
