End a probe of links at the first target that accepts

What callers saw (by reading): a request whose target could not be reached waited up to 0.3 s for a probe of other targets that hang, although one had accepted. Evidence: detector.TestProbeEndsWithTheFirstTargetThatAccepts. Change: the probe ends at the first target that accepts, and that of returning links when most have.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -154,7 +154,7 @@
 
 // probe decides whether the links are lost: none of a sample of targets accepts a connection.
 func (d *Detector) probe() {
-	accepted, tried := d.try()
+	accepted, tried := d.try(func(int) int { return 1 })
 	if accepted > 0 || tried < minSample || d.ctx.Err() != nil {
 		d.mu.Lock()
 		d.soundAt = time.Now()
@@ -175,7 +175,7 @@
 			return
 		case <-ticker.C:
 		}
-		if accepted, tried := d.try(); tried == 0 || 2*accepted > tried {
+		if accepted, tried := d.try(func(n int) int { return n/2 + 1 }); tried == 0 || 2*accepted > tried {
 			d.mu.Lock()
 			d.soundAt = time.Now()
 			d.mu.Unlock()
@@ -185,8 +185,9 @@
 	}
 }
 
-// try opens connections to a sample of targets at the same time.
-func (d *Detector) try() (accepted, tried int) {
+// try opens connections to a sample of targets at the same time, and returns once enough of them have accepted. enough gives
+// their number for the size of the sample.
+func (d *Detector) try(enough func(n int) int) (accepted, tried int) {
 	counters.Add("probes", 1)
 	sample := d.opts.Sample(probeSize)
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
@@ -205,6 +206,9 @@
 		if <-results {
 			accepted++
 		}
+		if accepted >= enough(len(sample)) {
+			break
+		}
 	}
 	return accepted, len(sample)
 }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -19,7 +19,9 @@
 	mu      sync.Mutex
 	refused map[netip.AddrPort]bool
 	silent  bool
-	dials   atomic.Int32
+	// accepting is a target that accepts although the others are silent.
+	accepting netip.AddrPort
+	dials     atomic.Int32
 }
 
 func targets(n int) []netip.AddrPort {
@@ -44,7 +46,7 @@
 	n.mu.Lock()
 	silent, refused := n.silent, n.refused[netip.MustParseAddrPort(addr)]
 	n.mu.Unlock()
-	if silent {
+	if silent && netip.MustParseAddrPort(addr) != n.accepting {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -102,6 +104,19 @@
 	c.Assert(<-changes, qt.IsTrue)
 }
 
+// Guards against requests that wait for a probe of targets that hang although another one has accepted.
+func TestProbeEndsWithTheFirstTargetThatAccepts(t *testing.T) {
+	c := qt.New(t)
+	n := network{
+		accepting: targets(4)[2],
+	}
+	n.set(true)
+	d := newDetector(t, &n, make(chan bool, 10))
+	began := time.Now()
+	c.Assert(d.Check(context.Background()), qt.IsFalse)
+	c.Assert(time.Since(began) < probeTimeout/2, qt.IsTrue)
+}
+
 // Guards against probes by hosts whose targets answer.
 func TestSoundLinksAreNotProbed(t *testing.T) {
 	var n network
