--- a/director/links.go
+++ b/director/links.go
@@ -16,6 +16,7 @@
 	"bramleyline.example/bramleyline/receiver"
 	"bramleyline.example/bramleyline/relayer"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/settingsreader"
 	"bramleyline.example/bramleyline/signer"
 )
 
@@ -143,8 +144,7 @@
 	if st.HostsIndex != l.hostsAt || l.hosts == nil {
 		l.hostsAt, l.hosts = st.HostsIndex, nil
 		for name, h := range st.Hosts {
-			region, known := s.Direct.Regions[h.DataCentre]
-			if h.Control || name == s.Name || !h.Peer.IsValid() || known && region != s.Direct.Region {
+			if h.Control || name == s.Name || !h.Peer.IsValid() || !sameRegion(s.Direct, h.DataCentre) {
 				continue
 			}
 			l.hosts = append(l.hosts, relayer.Host{
@@ -157,6 +157,11 @@
 	return append([]relayer.Host(nil), l.hosts...)
 }
 
+// sameRegion reports whether bodies may go to a data centre: it is in the region of this host, or no regions are set.
+func sameRegion(s *settingsreader.Direct, dataCentre string) bool {
+	return len(s.Regions) == 0 || s.Regions[dataCentre] == s.Region
+}
+
 // stop waits until the requests of other hosts are answered.
 func (l *entryLinks) stop(ctx context.Context) {
 	if l.listening {
