Do not take overloaded links for lost ones

What callers saw: with 35 of 61 hosts without links, those that served for them found their own links lost, and back, 5 to 10 times a second, and passed their requests on as well. Cause: a saturated link of 3.6 Mbit/s opens no connection within the 0.3 s of a probe. Change: unless all targets refuse, links are lost only if no request was answered during the probe.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -9,9 +9,11 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -53,6 +55,8 @@
 	// of them began, in nanoseconds of the Unix time.
 	inFlight atomic.Int64
 	heardAt  atomic.Int64
+	// answeredAt is when a target last answered, in the same unit.
+	answeredAt atomic.Int64
 
 	mu sync.Mutex
 	// probing is closed at the end of the probe in progress, nil if there is none.
@@ -102,6 +106,7 @@
 	d.inFlight.Add(-1)
 	if answered {
 		d.heardAt.Store(now.UnixNano())
+		d.answeredAt.Store(now.UnixNano())
 	}
 }
 
@@ -152,10 +157,13 @@
 	return done
 }
 
-// probe decides whether the links are lost: none of a sample of targets accepts a connection.
+// probe decides whether the links are lost: none of a sample of targets accepts a connection. Where they are not refused, a
+// request that is answered meanwhile shows that links are overloaded and not lost; to pass requests on would load others.
 func (d *Detector) probe() {
-	accepted, tried := d.try(func(int) int { return 1 })
-	if accepted > 0 || tried < minSample || d.ctx.Err() != nil {
+	began := time.Now()
+	accepted, refused, tried := d.try(func(int) int { return 1 })
+	answered := d.answeredAt.Load() >= began.UnixNano()
+	if accepted > 0 || tried < minSample || answered && refused < tried || d.ctx.Err() != nil {
 		d.mu.Lock()
 		d.soundAt = time.Now()
 		d.mu.Unlock()
@@ -175,7 +183,7 @@
 			return
 		case <-ticker.C:
 		}
-		if accepted, tried := d.try(func(n int) int { return n/2 + 1 }); tried == 0 || 2*accepted > tried {
+		if accepted, _, tried := d.try(func(n int) int { return n/2 + 1 }); tried == 0 || 2*accepted > tried {
 			d.mu.Lock()
 			d.soundAt = time.Now()
 			d.mu.Unlock()
@@ -186,31 +194,34 @@
 }
 
 // try opens connections to a sample of targets at the same time, and returns once enough of them have accepted. enough gives
-// their number for the size of the sample.
-func (d *Detector) try(enough func(n int) int) (accepted, tried int) {
+// their number for the size of the sample. refused is the number of those that refused.
+func (d *Detector) try(enough func(n int) int) (accepted, refused, tried int) {
 	counters.Add("probes", 1)
 	sample := d.opts.Sample(probeSize)
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
-	results := make(chan bool, len(sample))
+	results := make(chan error, len(sample))
 	for _, addr := range sample {
 		go func() {
 			conn, err := d.opts.Dial(ctx, "tcp", addr.String())
 			if err == nil {
 				_ = conn.Close()
 			}
-			results <- err == nil
+			results <- err
 		}()
 	}
 	for range sample {
-		if <-results {
+		switch err := <-results; {
+		case err == nil:
 			accepted++
+		case errors.Is(err, syscall.ECONNREFUSED):
+			refused++
 		}
 		if accepted >= enough(len(sample)) {
 			break
 		}
 	}
-	return accepted, len(sample)
+	return accepted, refused, len(sample)
 }
 
 func (d *Detector) change(lost bool) {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -117,6 +117,24 @@
 	c.Assert(time.Since(began) < probeTimeout/2, qt.IsTrue)
 }
 
+// Guards against a host whose links are overloaded, so that connections are not opened in time: it must not pass its requests
+// to others, which would be overloaded next. Where all targets refuse, answers on kept connections show nothing.
+func TestOverloadedLinksAreNotLost(t *testing.T) {
+	c := qt.New(t)
+	var n network
+	d := newDetector(t, &n, make(chan bool, 10))
+	check := func() bool {
+		d.Begin(time.Now())
+		time.AfterFunc(probeTimeout/3, func() { d.End(time.Now(), true) })
+		return d.Check(context.Background())
+	}
+	n.set(true)
+	c.Assert(check(), qt.IsFalse)
+	time.Sleep(soundTime)
+	n.set(false, targets(4)...)
+	c.Assert(check(), qt.IsTrue)
+}
+
 // Guards against probes by hosts whose targets answer.
 func TestSoundLinksAreNotProbed(t *testing.T) {
 	var n network
