Bound the requests that a host without links has at others

What callers saw: on hosts with narrow links (3.6 Mbit/s), where 35 of 61 lost theirs, passing requests on overloaded those that served, so that their own callers were served worst. Cause: nothing bounded what hosts without links sent to the others. Change: a window of requests at others for each host, by additive increase and multiplicative decrease, on the time in which hosts tell of their links; what does not fit is refused at once.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -27,7 +27,9 @@
 	reasonUnknown     = "outcomeUnknown"
 	reasonSuspect     = "suspect"
 	// reasonNoLinks means that this host has lost its links to targets, and no other host is known to have any.
-	reasonNoLinks    = "noLinks"
+	reasonNoLinks = "noLinks"
+	// reasonRelayBusy means that this host has lost its links, and the others cannot take more of its requests.
+	reasonRelayBusy  = "relayBusy"
 	reasonCallerLeft = "callerLeft"
 )
 
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -65,5 +65,9 @@
 	if x.possibleRuns > 0 {
 		return x.fail(http.StatusBadGateway, reasonUnknown)
 	}
-	return x.refuse(reasonNoLinks, retryAfterNoLinks+time.Duration(rand.Int64N(int64(retryAfterNoLinksSpread))))
+	reason := reasonNoLinks
+	if fault.Reason == reasonRelayBusy {
+		reason = reasonRelayBusy
+	}
+	return x.refuse(reason, retryAfterNoLinks+time.Duration(rand.Int64N(int64(retryAfterNoLinksSpread))))
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -44,10 +45,16 @@
 // ReasonNoHost is the reason of the fault of a request that no other host can serve.
 const ReasonNoHost = "noLinks"
 
+// ReasonBusy is the reason of the fault of a request that would load other hosts too much.
+const ReasonBusy = "relayBusy"
+
 // counters are requests passed on, hosts that had no links, and requests that no host took.
 var counters = expvar.NewMap("relay")
 
-var errNoHost = errors.New("no other host is known to reach targets")
+var (
+	errNoHost = errors.New("no other host is known to reach targets")
+	errBusy   = errors.New("other hosts cannot take more requests of this one")
+)
 
 // Host is another entry host.
 type Host struct {
@@ -70,6 +77,8 @@
 type Relayer struct {
 	opts Options
 
+	window window
+
 	mu    sync.Mutex
 	hosts map[string]*hostState
 	// round is closed at the end of the first round since Start.
@@ -155,31 +164,45 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
+	var asked, slow atomic.Int32
 	for _, h := range sample {
 		wg.Go(func() {
 			deadline, _ := ctx.Deadline()
+			began := time.Now()
 			a, _, fault := r.send(ctx, h, &acceptor.Request{
 				Method: http.MethodOptions,
 				URI:    signer.StatusPath,
 				Host:   h.Addr.String(),
 			}, 0, deadline)
-			r.note(h, fault == nil && a.Status == http.StatusNoContent)
+			ok := fault == nil && a.Status == http.StatusNoContent
+			// A host that had links and does not answer in time is overloaded, or lost; one that declines is neither.
+			if wasSound := r.note(h, ok); ok || wasSound && fault != nil {
+				asked.Add(1)
+				if !ok || time.Since(began) > congestedTime {
+					slow.Add(1)
+				}
+			}
 		})
 	}
 	wg.Wait()
+	if asked.Load() > 0 {
+		r.window.adapt(2*slow.Load() > asked.Load())
+	}
 }
 
-// note records whether a host can serve requests.
-func (r *Relayer) note(h Host, sound bool) {
+// note records whether a host can serve requests, and returns whether it was known to.
+func (r *Relayer) note(h Host, sound bool) (wasSound bool) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(h)
+	wasSound = now.Before(s.soundUntil)
 	if sound {
 		s.soundUntil, s.avoidUntil = now.Add(soundTime), time.Time{}
-		return
+		return wasSound
 	}
 	s.soundUntil, s.avoidUntil = time.Time{}, now.Add(avoidTime)
+	return wasSound
 }
 
 // state returns the state of a host. The caller holds the lock.
@@ -236,6 +259,11 @@
 // Relay passes a request to another host and returns its answer. The fault says whether the request may have run; if no
 // host could take it, its reason is ReasonNoHost.
 func (r *Relayer) Relay(ctx context.Context, req *acceptor.Request, deadline time.Time) (*acceptor.Answer, *sender.Fault) {
+	if !r.window.enter() {
+		counters.Add("held", 1)
+		return nil, sender.NewFault(ReasonBusy, http.StatusServiceUnavailable, errBusy)
+	}
+	defer r.window.leave()
 	r.mu.Lock()
 	round := r.round
 	r.mu.Unlock()
