Cut endless answers of the emulated target when it ends

The emulated target ended its endless answer as a whole one when it was closed meanwhile, which is new since poison requests close targets at any moment.

--- a/platformemulator/platformemulator.go
+++ b/platformemulator/platformemulator.go
@@ -378,14 +378,15 @@
 	e.endlessBodies.Store(on)
 }
 
-// writeEndlessBody writes until the host closes the connection or the target ends.
+// writeEndlessBody writes until the host closes the connection or the target ends. The answer never ends as a whole one.
 func (e *Emulator) writeEndlessBody(w io.Writer) {
 	noise := bytes.Repeat([]byte("x"), 16<<10)
 	for e.ctx.Err() == nil {
 		if _, err := w.Write(noise); err != nil {
-			return
+			break
 		}
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // reject answers that the request was not run.
--- a/platformemulator/platformemulator_test.go
+++ b/platformemulator/platformemulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -103,3 +104,26 @@
 	c.Assert(second.Limit, qt.Equals, 0.0)
 	c.Assert(second.LimitSince.Equal(first.LimitSince), qt.IsTrue)
 }
+
+// Guards against an endless answer that ends as a whole one when its target ends, which callers then take for theirs.
+func TestEndlessBodyIsCutWhenTheTargetEnds(t *testing.T) {
+	c := qt.New(t)
+	var addr netip.AddrPort
+	m := New(Options{
+		ID:       "i-1",
+		Service:  "tally",
+		Controls: []string{"http://127.0.0.1:1"},
+		Advertise: func(listen netip.AddrPort) (netip.AddrPort, error) {
+			addr = listen
+			return listen, nil
+		},
+	})
+	c.Assert(m.Start(), qt.IsNil)
+	m.SetEndlessBodies(true)
+	resp, err := http.Get("http://" + addr.String() + "/x")
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	time.AfterFunc(50*time.Millisecond, m.Close)
+	_, err = io.Copy(io.Discard, resp.Body)
+	c.Assert(err, qt.IsNotNil)
+}
