--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -70,6 +70,8 @@
 	// entries and controls are the base URLs of entry hosts and control hosts, through the links from outside.
 	entries  []string
 	controls []string
+	// links is the address of all links.
+	links netip.Addr
 	// targets holds the addresses of the targets by their numbers.
 	targets []targetAddrs
 }
@@ -92,6 +94,7 @@
 		network: &injector.Injector{},
 	}
 	block := os.Getpid() + int(fleetCount.Add(1))
+	f.links = netip.AddrFrom4([4]byte{127, byte(1 + block/250%250), byte(1 + block%250), 253})
 	for i := range controlHosts + entries {
 		f.hosts = append(f.hosts, &host{
 			name:    hostName(i),
@@ -121,7 +124,7 @@
 // of which may fail by itself.
 func (f *fleet) openTargetLinks(i int, listen netip.AddrPort) error {
 	name := targetName(i)
-	announced, err := f.network.Open("hosts", name, anyPort(), listen)
+	announced, err := f.network.Open("hosts", name, f.anyPort(), listen)
 	if err != nil {
 		return errors.Wrap(err, "link to target")
 	}
@@ -130,7 +133,7 @@
 		announced: announced,
 	})
 	for _, h := range f.hosts[controlHosts:] {
-		link, err := f.network.Open(h.name, name, anyPort(), listen)
+		link, err := f.network.Open(h.name, name, f.anyPort(), listen)
 		if err != nil {
 			return errors.Wrap(err, "link to target")
 		}
@@ -139,7 +142,9 @@
 	return nil
 }
 
-func anyPort() netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 0) }
+// anyPort returns an address of this fleet with a port that is free. A link that refuses connections closes its listener, so
+// that the port could go to any other program if the address were not the fleet's own.
+func (f *fleet) anyPort() netip.AddrPort { return netip.AddrPortFrom(f.links, 0) }
 
 // openExternalLink opens the link by which callers reach an entry host, or targets and operators a control host.
 func (f *fleet) openExternalLink(h *host) error {
@@ -147,7 +152,7 @@
 	if h.control {
 		port, list = controlPort, &f.controls
 	}
-	addr, err := f.network.Open("outside", h.name, anyPort(), netip.AddrPortFrom(h.addr, port))
+	addr, err := f.network.Open("outside", h.name, f.anyPort(), netip.AddrPortFrom(h.addr, port))
 	if err != nil {
 		return errors.Wrap(err, "link from outside")
 	}
@@ -162,7 +167,7 @@
 			continue
 		}
 		rpc := netip.AddrPortFrom(o.addr, rpcPort)
-		link, err := f.network.Open(h.name, o.name, anyPort(), rpc)
+		link, err := f.network.Open(h.name, o.name, f.anyPort(), rpc)
 		if err != nil {
 			return errors.Wrap(err, "link between hosts")
 		}
