Keep the count of requests at other hosts through two losses of links

What hosts saw (by reading): a host that lost its links twice in short succession took others for less loaded than idle, since it forgot its requests there at the second loss and counted their ends. Evidence: relayer.TestRequestsInFlightOutliveALossOfLinks, -1 before. Change: only what is known of their links is forgotten.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -113,7 +113,9 @@
 	r.stop = cancel
 	round := make(chan struct{})
 	r.round = round
-	r.hosts = make(map[string]*hostState)
+	for _, s := range r.hosts {
+		s.soundUntil, s.avoidUntil = time.Time{}, time.Time{}
+	}
 	r.wg.Go(func() { r.askInRounds(ctx, round) })
 }
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -189,3 +189,32 @@
 		c.Fatal("the request goes on")
 	}
 }
+
+// Guards against a host that counts as idle, or less than that, because requests of an earlier loss of links ended in a later
+// one.
+func TestRequestsInFlightOutliveALossOfLinks(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	g.add("a", true, func(context.Context) *acceptor.Answer {
+		close(entered)
+		<-leave
+		return &acceptor.Answer{
+			Status: http.StatusOK,
+		}
+	})
+	r := g.relayer()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = r.Relay(context.Background(), request(), time.Now().Add(10*time.Second))
+	}()
+	<-entered
+	r.Stop()
+	r.Start()
+	close(leave)
+	<-done
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.Assert(r.state(g.hosts[0]).inFlight, qt.Equals, 0)
+}
