Keep the waits of quarantined requests in the log

What callers saw (by reading the change again; no record): an innocent request could stay refused for good. Each new leader counted its wait anew, a leader whose clock had been ahead held it for as long, and a leader that was elected again could refuse one that another had released. Two losses under one request, hours apart, counted together, and 64 losses that a completion had voided left no room for others. Cause: when a round began was kept by the leader, with the losses of earlier terms, and nothing dropped old ones before there were 16,384. Evidence, tests run on: TestWaitsGoOnUnderTheNextLeader (refused for more than 2 h with a leader a minute; 42 min are meant), TestClockOfAFormerLeaderDoesNotHoldARequest, TestLossesFarApartAreCoincidences, TestVoidLossesLeaveRoomForOthers failed. TestFormerLeaderForgetsItsVerdicts covers the term that ended before its commit. Change: the time of day at which a round began is committed with it; a leader forgets its losses when its term begins, since hosts repeat those of the last minute; losses are dropped 10 minutes after the last one of their request, void ones when room is needed. Why it works: what binds all hosts is in the log as a whole, and what is not is never older than a term or 10 minutes.

--- a/adjudicator/adjudicator.go
+++ b/adjudicator/adjudicator.go
@@ -25,29 +25,31 @@
 	maxRound   = 2
 	// maxQuarantined bounds the requests that are refused at a time; the one that has been refused for longest makes room.
 	maxQuarantined = 1024
-	// recordTime is how long a loss is remembered, and maxRecords bounds the requests with losses: the loss of 250 targets
-	// with 20 requests each leaves 5,000.
-	recordTime = 10 * time.Minute
+	// recordTime is how long a loss is remembered after the last one of its request: losses that are further apart are
+	// coincidences. pruneInterval is the time between two searches for older ones.
+	recordTime    = 10 * time.Minute
+	pruneInterval = time.Second
+	// maxRecords bounds the requests with losses: the loss of 250 targets with 20 requests each leaves 5,000. maxLosses
+	// bounds the losses of one request.
 	maxRecords = 16384
-	// maxLosses bounds the losses of one request that are remembered.
-	maxLosses = 64
+	maxLosses  = 64
 )
 
-// counters are losses, clearances and verdicts that were counted on this host, and dropped losses that did not fit.
+// counters are losses and clearances that were counted on this host, verdicts that it proposed, and losses that were
+// dropped for lack of room.
 var counters = expvar.NewMap("adjudicator")
 
 // Adjudicator holds the losses of each request. The zero value is ready to use. It is safe for concurrent use.
 type Adjudicator struct {
 	mu      sync.Mutex
 	records map[uint64]*record
-	// since is when each quarantined request began to wait for its next trial.
-	since map[uint64]time.Time
 	// convicted holds the requests with CrashLimit losses or more.
 	convicted map[uint64]bool
-	// evictedAt is when records were last searched for some to drop.
-	evictedAt time.Time
-	// cleared holds the requests that completed and that the registry still lists.
-	cleared map[uint64]bool
+	// listed holds the requests that the registry listed at the last call of Changes, and completed those of them that have
+	// run to a good end since.
+	listed    map[uint64]bool
+	completed map[uint64]bool
+	prunedAt  time.Time
 }
 
 // lossID identifies a lost incarnation of a target.
@@ -64,21 +66,30 @@
 	lastLoss time.Time
 }
 
+// Reset forgets all losses. A leader that has just been elected calls it: what it counted in an earlier term may have been
+// voided since, and hosts repeat their reports of the last minute.
+func (a *Adjudicator) Reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.records, a.convicted, a.listed, a.completed = nil, nil, nil, nil
+}
+
 // Observe counts losses that hosts report, each once, and requests that completed: a request that ran to a good end did
 // not cause the losses before.
 func (a *Adjudicator) Observe(now time.Time, losses []reporter.SuspectMsg, completed []uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.prune(now)
 	for _, m := range losses {
 		a.addLoss(now, m)
 	}
 	for _, fp := range completed {
 		counters.Add("clearances", 1)
 		a.void(fp)
-		if a.cleared == nil {
-			a.cleared = make(map[uint64]bool)
+		if a.completed == nil {
+			a.completed = make(map[uint64]bool)
 		}
-		a.cleared[fp] = true
+		a.completed[fp] = true
 	}
 }
 
@@ -96,13 +107,9 @@
 }
 
 func (a *Adjudicator) addLoss(now time.Time, m reporter.SuspectMsg) {
-	id := lossID{
-		target:      m.Lost,
-		incarnation: m.Incarnation,
-	}
 	r, ok := a.records[m.Fingerprint]
 	if !ok {
-		if len(a.records) >= maxRecords && !a.evict(now) {
+		if len(a.records) >= maxRecords {
 			counters.Add("dropped", 1)
 			return
 		}
@@ -110,70 +117,81 @@
 			losses: make(map[lossID]bool),
 		}
 		if a.records == nil {
-			a.records = make(map[uint64]*record)
+			a.records, a.convicted = make(map[uint64]*record), make(map[uint64]bool)
 		}
 		a.records[m.Fingerprint] = r
 	}
-	if _, known := r.losses[id]; known || len(r.losses) >= maxLosses {
+	id := lossID{
+		target:      m.Lost,
+		incarnation: m.Incarnation,
+	}
+	if _, known := r.losses[id]; known {
+		return
+	}
+	if len(r.losses) >= maxLosses {
+		r.dropVoid()
+	}
+	if len(r.losses) >= maxLosses {
 		return
 	}
 	counters.Add("losses", 1)
 	r.losses[id] = true
 	r.crashes++
 	r.lastLoss = now
-	delete(a.cleared, m.Fingerprint)
+	delete(a.completed, m.Fingerprint)
 	if r.crashes >= CrashLimit {
-		if a.convicted == nil {
-			a.convicted = make(map[uint64]bool)
-		}
 		a.convicted[m.Fingerprint] = true
 	}
 }
 
-// evict drops the records that are too old, or else those with a single loss, which the next loss would not convict either.
-// It reports whether there were any.
-func (a *Adjudicator) evict(now time.Time) bool {
-	if now.Sub(a.evictedAt) < time.Second {
-		return false
-	}
-	a.evictedAt = now
-	before := len(a.records)
-	for fp, r := range a.records {
-		if now.Sub(r.lastLoss) > recordTime {
-			delete(a.records, fp)
-			delete(a.convicted, fp)
+// dropVoid makes room for losses that count.
+func (r *record) dropVoid() {
+	for id, counts := range r.losses {
+		if !counts {
+			delete(r.losses, id)
 		}
 	}
-	if len(a.records) < before {
-		return true
+}
+
+// prune drops the records whose last loss is too old to count with the next one.
+func (a *Adjudicator) prune(now time.Time) {
+	if now.Sub(a.prunedAt) < pruneInterval {
+		return
 	}
+	a.prunedAt = now
 	for fp, r := range a.records {
-		if r.crashes <= 1 && now.Sub(r.lastLoss) > time.Minute {
+		if now.Sub(r.lastLoss) > recordTime {
 			delete(a.records, fp)
+			delete(a.convicted, fp)
 		}
 	}
-	return len(a.records) < before
 }
 
-// Changes returns the next change of the requests that reg lists, nil if there is none. A leader that has just been elected
-// counts the waits from its first call.
+// Changes returns the next change of the requests that reg lists, nil if there is none. now is the time of day, since the
+// waits go on under the next leader.
 func (a *Adjudicator) Changes(now time.Time, reg registrar.Registry) *registrar.QuarantineMsg {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.forget(reg)
+	a.prune(now)
+	a.follow(reg)
 	var m registrar.QuarantineMsg
-	if a.since == nil {
-		a.since = make(map[uint64]time.Time)
-	}
-	for fp, round := range reg.Quarantine().All() {
-		if since, ok := a.since[fp]; !ok {
-			a.since[fp] = now
-		} else if a.cleared[fp] || now.Sub(since) >= wait(round) && round >= maxRound {
+	for fp, q := range reg.Quarantine().All() {
+		waited := now.Sub(q.Since)
+		switch {
+		case a.completed[fp] || waited >= wait(q.Round) && q.Round >= maxRound:
 			m.Remove = append(m.Remove, fp)
-		} else if now.Sub(since) >= wait(round) {
+		case waited >= wait(q.Round):
 			m.Set = append(m.Set, registrar.Quarantined{
 				Fingerprint: fp,
-				Round:       round + 1,
+				Round:       q.Round + 1,
+				Since:       now,
+			})
+		case waited < 0:
+			// The clock of the leader that set it was ahead of this one.
+			m.Set = append(m.Set, registrar.Quarantined{
+				Fingerprint: fp,
+				Round:       q.Round,
+				Since:       now,
 			})
 		}
 	}
@@ -181,63 +199,62 @@
 		if _, ok := reg.Quarantine().Get(fp); !ok {
 			m.Set = append(m.Set, registrar.Quarantined{
 				Fingerprint: fp,
+				Since:       now,
 			})
 		}
 	}
-	a.makeRoom(&m, reg)
+	makeRoom(&m, reg)
 	if len(m.Set)+len(m.Remove) == 0 {
 		return nil
 	}
+	counters.Add("verdicts", int64(len(m.Set)))
 	return &m
 }
 
 // wait returns how long a request is refused in a round, the first of which is 0.
 func wait(round uint32) time.Duration {
 	d := firstWait
-	for range round {
+	for range min(round, maxRound) {
 		d *= waitFactor
 	}
 	return d
 }
 
-// makeRoom bounds what m adds, and removes the requests that have been refused for longest.
-func (a *Adjudicator) makeRoom(m *registrar.QuarantineMsg, reg registrar.Registry) {
-	slices.SortFunc(m.Set, func(x, y registrar.Quarantined) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
-	m.Set = m.Set[:min(len(m.Set), maxQuarantined)]
-	excess := reg.Quarantine().Len() + len(m.Set) - len(m.Remove) - maxQuarantined
-	if excess <= 0 {
-		return
+// follow voids the losses of requests that reg no longer lists, so that the next ones count from zero.
+func (a *Adjudicator) follow(reg registrar.Registry) {
+	for fp := range a.listed {
+		if _, ok := reg.Quarantine().Get(fp); !ok {
+			delete(a.listed, fp)
+			a.void(fp)
+		}
 	}
-	var listed []uint64
 	for fp := range reg.Quarantine().All() {
-		listed = append(listed, fp)
-	}
-	slices.SortFunc(listed, func(x, y uint64) int { return a.since[x].Compare(a.since[y]) })
-	m.Remove = append(m.Remove, listed[:min(excess, len(listed))]...)
-}
-
-// forget drops what was kept of requests that reg no longer lists. The next losses of such a request count from zero.
-func (a *Adjudicator) forget(reg registrar.Registry) {
-	for fp := range a.since {
-		if _, ok := reg.Quarantine().Get(fp); ok {
-			continue
+		if a.listed == nil {
+			a.listed = make(map[uint64]bool)
 		}
-		delete(a.since, fp)
-		a.void(fp)
+		a.listed[fp] = true
 	}
-	for fp := range a.cleared {
-		if _, ok := reg.Quarantine().Get(fp); !ok {
-			delete(a.cleared, fp)
+	for fp := range a.completed {
+		if !a.listed[fp] {
+			delete(a.completed, fp)
 		}
 	}
 }
 
-// Committed records that m was committed, so that the waits of its rounds begin at now.
-func (a *Adjudicator) Committed(now time.Time, m *registrar.QuarantineMsg) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, q := range m.Set {
-		counters.Add("verdicts", 1)
-		a.since[q.Fingerprint] = now
+// makeRoom bounds what m adds, and removes the requests that have been refused for longest.
+func makeRoom(m *registrar.QuarantineMsg, reg registrar.Registry) {
+	slices.SortFunc(m.Set, func(x, y registrar.Quarantined) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
+	m.Set = m.Set[:min(len(m.Set), maxQuarantined)]
+	excess := reg.Quarantine().Len() + len(m.Set) - len(m.Remove) - maxQuarantined
+	if excess <= 0 {
+		return
+	}
+	var listed []registrar.Quarantined
+	for _, q := range reg.Quarantine().All() {
+		listed = append(listed, q)
+	}
+	slices.SortFunc(listed, func(x, y registrar.Quarantined) int { return x.Since.Compare(y.Since) })
+	for _, q := range listed[:min(excess, len(listed))] {
+		m.Remove = append(m.Remove, q.Fingerprint)
 	}
 }
--- a/adjudicator/adjudicator_test.go
+++ b/adjudicator/adjudicator_test.go
@@ -31,7 +31,6 @@
 	g.now = g.now.Add(d)
 	if m := g.Changes(g.now, g.reg); m != nil {
 		g.reg = g.reg.SetQuarantine(*m)
-		g.Committed(g.now, m)
 	}
 }
 
@@ -45,11 +44,11 @@
 
 // round returns the round of a request, -1 if it is not refused.
 func (g *group) round(fingerprint uint64) int {
-	round, ok := g.reg.Quarantine().Get(fingerprint)
+	q, ok := g.reg.Quarantine().Get(fingerprint)
 	if !ok {
 		return -1
 	}
-	return int(round)
+	return int(q.Round)
 }
 
 // Guards against a poison request that no host refuses because each counts only its own losses, or because hundreds of
@@ -121,24 +120,81 @@
 	c.Assert(g.round(1), qt.Equals, maxRound)
 }
 
-// Guards against a verdict that ends with its leader: the next one has only what was committed.
-func TestVerdictSurvivesItsLeader(t *testing.T) {
+// elect makes another host the leader, which has what was committed, through a snapshot.
+func (g *group) elect() {
+	g.reg = g.reg.ToWire().Registry()
+	g.Reset()
+}
+
+// Guards against a verdict that ends with its leader, and against an innocent request that is refused for ever because each
+// new leader begins to wait anew.
+func TestWaitsGoOnUnderTheNextLeader(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	g.lose(1, "t1")
+	g.lose(1, "t2")
+	g.step(0)
+	began := g.now
+	for g.round(1) >= 0 && g.now.Sub(began) < 2*time.Hour {
+		g.elect()
+		g.step(time.Minute)
+	}
+	waits := wait(0) + wait(1) + wait(2)
+	c.Assert(g.now.Sub(began) >= waits && g.now.Sub(began) <= waits+4*time.Minute, qt.IsTrue, qt.Commentf("%s", g.now.Sub(began)))
+}
+
+// Guards against an innocent request that is refused for as long as the clock of a former leader was ahead.
+func TestClockOfAFormerLeaderDoesNotHoldARequest(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	g.now = start.Add(24 * time.Hour)
+	g.lose(1, "t1")
+	g.lose(1, "t2")
+	g.step(0)
+	g.now = start
+	g.step(0)
+	g.step(firstWait)
+	c.Assert(g.round(1), qt.Equals, 1)
+}
+
+// Guards against a leader of an earlier term that refuses a request which another leader has released since: it had not
+// committed its own verdict when its term ended.
+func TestFormerLeaderForgetsItsVerdicts(t *testing.T) {
 	c := qt.New(t)
 	g := newGroup()
 	g.lose(1, "t1")
 	g.lose(1, "t2")
+	g.elect()
+	g.step(time.Minute)
+	c.Assert(g.round(1), qt.Equals, -1)
+}
+
+// Guards against an innocent request that is refused because two targets were lost under it hours apart.
+func TestLossesFarApartAreCoincidences(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	g.lose(1, "t1")
+	g.step(recordTime + time.Minute)
+	g.lose(1, "t2")
 	g.step(0)
-	next := newGroup()
-	next.reg = registrar.Registry{}.SetQuarantine(registrar.QuarantineMsg{})
-	w := g.reg.ToWire()
-	next.reg = w.Registry()
-	next.step(time.Minute)
-	c.Assert(next.round(1), qt.Equals, 0)
-	next.step(firstWait)
-	c.Assert(next.round(1), qt.Equals, 1)
-	next.Observe(next.now, nil, []uint64{1})
-	next.step(0)
-	c.Assert(next.round(1), qt.Equals, -1)
+	c.Assert(g.round(1), qt.Equals, -1)
+	g.lose(1, "t3")
+	g.step(0)
+	c.Assert(g.round(1), qt.Equals, 0)
+}
+
+// Guards against a poison request that is never refused because many losses of it were voided before.
+func TestVoidLossesLeaveRoomForOthers(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	for i := range 2 * maxLosses {
+		g.lose(1, fmt.Sprint("void", i))
+		g.Observe(g.now, nil, []uint64{1})
+	}
+	g.lose(1, "t1")
+	g.lose(1, "t2")
+	g.step(0)
+	c.Assert(g.round(1), qt.Equals, 0)
 }
 
 // Guards against state that grows with the requests that are lost.
@@ -155,5 +211,5 @@
 	}
 	c.Assert(len(g.records) <= maxRecords, qt.IsTrue)
 	c.Assert(g.reg.Quarantine().Len() <= maxQuarantined, qt.IsTrue, qt.Commentf("%d", g.reg.Quarantine().Len()))
-	c.Assert(len(g.since) <= 2*maxQuarantined, qt.IsTrue)
+	c.Assert(len(g.listed) <= maxQuarantined, qt.IsTrue)
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -292,6 +292,7 @@
 		s.opts.Log.Info("leadership began", "index", s.opts.Controller.State().Index)
 		s.leadingSince = since
 		s.issuer.Reset()
+		s.adjudicator.Reset()
 		s.lessor = lessor.New(since, lessor.Settings{
 			Hold:        s.opts.Hold,
 			CallTimeout: grantTimeout,
@@ -300,7 +301,7 @@
 	s.updateMembers(now)
 	st := s.opts.Controller.State()
 	s.updateLimits(now, st.Registry)
-	s.updateQuarantine(now, st.Registry)
+	s.updateQuarantine(st.Registry)
 	if !s.updateTable(st) {
 		return
 	}
--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -7,7 +7,6 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/reporter"
-	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // observeLosses takes the requests that a host lost with their targets, and those that completed. If another host leads,
@@ -20,15 +19,15 @@
 		counters.Add("droppedLosses", int64(s.relay.addLosses(losses, completed)))
 		return
 	}
-	s.adjudicator.Observe(timekeeper.Now(), losses, completed)
+	s.adjudicator.Observe(time.Now(), losses, completed)
 }
 
 // updateQuarantine starts the commit of the next change of the requests that are refused, if there is one.
-func (s *Coordinator) updateQuarantine(now time.Time, reg registrar.Registry) {
+func (s *Coordinator) updateQuarantine(reg registrar.Registry) {
 	if s.quarantinePending.Load() {
 		return
 	}
-	if m := s.adjudicator.Changes(now, reg); m != nil {
+	if m := s.adjudicator.Changes(time.Now(), reg); m != nil {
 		s.quarantinePending.Store(true)
 		go s.proposeQuarantine(m)
 	}
@@ -43,9 +42,6 @@
 			Quarantine: m,
 		},
 	})
-	if err == nil {
-		s.adjudicator.Committed(timekeeper.Now(), m)
-	}
 	for _, q := range m.Set {
 		s.opts.Log.Info("request quarantined", "fingerprint", q.Fingerprint, "round", q.Round, "err", err)
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -35,8 +35,8 @@
 	changes indexer.Map[uint64, string]
 	// ranges holds the key ranges of each keyed service by their first keys, without overlap.
 	ranges indexer.Map[string, Ranges]
-	// quarantine holds the rounds of the requests that are refused, by fingerprint.
-	quarantine indexer.Map[uint64, uint32]
+	// quarantine holds the requests that are refused, by fingerprint.
+	quarantine indexer.Map[uint64, Quarantined]
 }
 
 // Pool holds targets by ID. Callers must not modify the targets.
--- a/registrar/wire.go
+++ b/registrar/wire.go
@@ -38,6 +38,8 @@
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
 	Round       uint32
+	// Since is in Unix milliseconds.
+	Since int64
 }
 
 type documentWire struct {
@@ -176,10 +178,7 @@
 		}
 	case c.Quarantine != nil:
 		for _, q := range c.Quarantine.Set {
-			w.Quarantine = append(w.Quarantine, quarantinedWire{
-				Fingerprint: q.Fingerprint,
-				Round:       q.Round,
-			})
+			w.Quarantine = append(w.Quarantine, quarantinedToWire(q))
 		}
 		w.Unquarantine = c.Quarantine.Remove
 	}
@@ -253,10 +252,7 @@
 			Remove: w.Unquarantine,
 		}
 		for _, q := range w.Quarantine {
-			c.Quarantine.Set = append(c.Quarantine.Set, Quarantined{
-				Fingerprint: q.Fingerprint,
-				Round:       q.Round,
-			})
+			c.Quarantine.Set = append(c.Quarantine.Set, q.quarantined())
 		}
 	}
 	return c
@@ -278,7 +274,7 @@
 	}
 	for id, ts := range r.Tombstones {
 		w.Tombstones[id] = tombstoneWire{
-			Born: bornToWire(ts.Born),
+			Born: timeToWire(ts.Born),
 			At:   ts.At,
 		}
 	}
@@ -296,11 +292,8 @@
 		}
 		w.Ranges[service] = list
 	}
-	for fp, round := range r.quarantine.All() {
-		w.Quarantine = append(w.Quarantine, quarantinedWire{
-			Fingerprint: fp,
-			Round:       round,
-		})
+	for _, q := range r.quarantine.All() {
+		w.Quarantine = append(w.Quarantine, quarantinedToWire(q))
 	}
 	return &w
 }
@@ -320,7 +313,7 @@
 	}
 	for id, ts := range w.Tombstones {
 		r.Tombstones[id] = Tombstone{
-			Born: bornFromWire(ts.Born),
+			Born: timeFromWire(ts.Born),
 			At:   ts.At,
 		}
 	}
@@ -340,7 +333,7 @@
 		r = r.withRanges(service, ranges.Map)
 	}
 	for _, q := range w.Quarantine {
-		r.quarantine = r.quarantine.With(q.Fingerprint, q.Round)
+		r.quarantine = r.quarantine.With(q.Fingerprint, q.quarantined())
 	}
 	return r
 }
@@ -381,6 +374,22 @@
 	}
 }
 
+func quarantinedToWire(q Quarantined) quarantinedWire {
+	return quarantinedWire{
+		Fingerprint: q.Fingerprint,
+		Round:       q.Round,
+		Since:       timeToWire(q.Since),
+	}
+}
+
+func (w quarantinedWire) quarantined() Quarantined {
+	return Quarantined{
+		Fingerprint: w.Fingerprint,
+		Round:       w.Round,
+		Since:       timeFromWire(w.Since),
+	}
+}
+
 func limitToWire(limit *float64) *int64 {
 	if limit == nil {
 		return nil
@@ -400,25 +409,25 @@
 func incarnationToWire(inc Incarnation) incarnationWire {
 	return incarnationWire{
 		ID:   inc.ID,
-		Born: bornToWire(inc.Born),
+		Born: timeToWire(inc.Born),
 	}
 }
 
 func (w incarnationWire) incarnation() Incarnation {
 	return Incarnation{
 		ID:   w.ID,
-		Born: bornFromWire(w.Born),
+		Born: timeFromWire(w.Born),
 	}
 }
 
-func bornToWire(t time.Time) int64 {
+func timeToWire(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
 	}
 	return t.UnixMilli()
 }
 
-func bornFromWire(ms int64) time.Time {
+func timeFromWire(ms int64) time.Time {
 	if ms == 0 {
 		return time.Time{}
 	}
--- a/viewer/quarantine.go
+++ b/viewer/quarantine.go
@@ -12,11 +12,11 @@
 	if v == nil || v.snapshot == nil {
 		return 0, false, false
 	}
-	round, ok = v.snapshot.registry.Quarantine().Get(fingerprint)
-	if !ok || round == 0 {
-		return round, false, ok
+	q, ok := v.snapshot.registry.Quarantine().Get(fingerprint)
+	if !ok || q.Round == 0 {
+		return 0, false, ok
 	}
-	return round, v.Share(1, strconv.FormatUint(fingerprint+uint64(round), 16)) == 1, true
+	return q.Round, v.Share(1, strconv.FormatUint(fingerprint+uint64(q.Round), 16)) == 1, true
 }
 
 // QuarantineLen returns the number of quarantined requests.
