Count only losses within ten minutes of each other

What callers saw (by reading): an innocent request was refused for up to ten minutes in delegated dispatch, two in direct dispatch, because two targets had been lost under it at any time since the host started. Cause: records are dropped only when there are 8,192, and counts never fell. Evidence: quarantiner.TestLossesFarApartAreCoincidences did not build or failed before (no such limit). Change: a loss more than ten minutes after the one before it begins a new count, as at the control leader. TestFirstReportOfSeveralCrashesCountsThemAll holds what must stay.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -32,6 +32,8 @@
 	reportDuration = 2 * time.Minute
 	laterGap       = 10 * time.Second
 	maxReported    = 8
+	// recordTime is how long a loss counts with the next one of its request: losses that are further apart are coincidences.
+	recordTime = 10 * time.Minute
 	// maxLosses bounds the losses that one record remembers in order to count each of them once.
 	maxLosses = 8
 )
@@ -195,7 +197,7 @@
 		}
 		return
 	}
-	if r.cleared || r.decided {
+	if r.cleared || r.decided || !r.lastLoss.IsZero() && now.Sub(r.lastLoss) > recordTime {
 		r.cleared, r.decided, r.crashes, crashes = false, false, 0, min(crashes, 1)
 	}
 	if crashes > 0 {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -116,3 +116,30 @@
 	qt.Assert(t, len(q.byFingerprint), qt.Equals, maxRecords)
 	qt.Assert(t, len(q.byIdentity), qt.Equals, maxRecords)
 }
+
+// Guards against an innocent request that is refused because two targets were lost under it hours apart.
+func TestLossesFarApartAreCoincidences(t *testing.T) {
+	c := qt.New(t)
+	var q Quarantiner
+	for i, at := range []time.Time{now, now.Add(recordTime + time.Minute)} {
+		target := fmt.Sprint("t", i)
+		l := q.Tracker("tally", target, 1, at)
+		l.Interrupted(l.Begin(innocent), true, at)
+		q.Lost("tally", target, 1, at)
+		c.Assert(q.MustRefuse(innocent, 2, keep, at), qt.IsFalse)
+	}
+}
+
+// Guards against a host that knows nothing of a request and counts two crashes that others report as one.
+func TestFirstReportOfSeveralCrashesCountsThemAll(t *testing.T) {
+	var q Quarantiner
+	q.AddSuspects([]reporter.SuspectMsg{{
+		Service:     "tally",
+		Request:     poison.Identity,
+		Fingerprint: poison.Fingerprint,
+		Crashes:     2,
+		Lost:        "t1",
+		Incarnation: 1,
+	}}, now)
+	qt.Assert(t, refused(&q, poison), qt.IsTrue)
+}
