Keep lost requests until a control host has taken them

What targets saw (by reading): after the end of the control host that an entry host reports to, or of the leader, a crash counted up to two seconds late, so that other hosts sent the request meanwhile. Cause: a report that failed was repeated only by its schedule, and a control host that had just ceased to lead took a relayed report and dropped it.

--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -92,12 +92,14 @@
 }
 
 // Observe takes the load reports and lost requests that an entry host or another control host sent. Relayed load
-// reports are dropped unless this host leads, so that they are not relayed again.
+// reports are refused unless this host leads, so that they are not relayed again.
 func (s *leaderService) Observe(args *ObserveArgs, _ *ObserveReply) error {
-	if !args.Relayed || s.coordinator.leads() {
-		s.coordinator.Observe(args.Work, args.Stated)
-		s.coordinator.observeLosses(args.Losses, args.Completed)
+	if args.Relayed && !s.coordinator.leads() {
+		// The sender keeps the losses for the next leader.
+		return controller.ErrNotLeader
 	}
+	s.coordinator.Observe(args.Work, args.Stated)
+	s.coordinator.observeLosses(args.Losses, args.Completed)
 	return nil
 }
 
--- a/director/entry.go
+++ b/director/entry.go
@@ -46,10 +46,8 @@
 	forgetAfter = time.Minute
 	// settleInterval is the least time between two checks whether the targets of requests without an answer have ended.
 	settleInterval = 250 * time.Millisecond
-	// lossInterval is the least time between two reports of losses, and maxReportedLosses bounds the losses in one: at 60
-	// bytes each, sending them at 2 Mbit/s takes 60 ms.
-	lossInterval      = 50 * time.Millisecond
-	maxReportedLosses = 256
+	// lossInterval is the least time between two reports of losses.
+	lossInterval = 50 * time.Millisecond
 	// balancerTime is how long the balancer may continue to send new connections after this host became not ready: it
 	// checks readiness each second and removes a host after two failed checks.
 	balancerTime = 3 * time.Second
@@ -267,6 +265,7 @@
 	defer timer.Stop()
 	var observations []coordinator.ServiceLoadMsg
 	var stated []issuer.StatedMsg
+	var lost lossReport
 	for {
 		select {
 		case <-e.d.ctx.Done():
@@ -283,20 +282,22 @@
 		if !addr.IsValid() {
 			continue
 		}
-		losses, completed := e.suspects.Losses(time.Now(), maxReportedLosses), e.suspects.Completed(time.Now())
-		if len(observations)+len(losses)+len(completed)+len(stated) == 0 {
+		lost.fill(&e.suspects, time.Now())
+		if len(observations)+len(stated) == 0 && lost.empty() {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(e.d.ctx, reportTimeout)
 		var reply coordinator.ObserveReply
 		err := e.d.messenger.Call(ctx, addr, "Leader.Observe", &coordinator.ObserveArgs{
 			Work:      observations,
-			Losses:    losses,
-			Completed: completed,
+			Losses:    lost.losses,
+			Completed: lost.completed,
 			Stated:    stated,
 		}, &reply)
 		cancel()
-		if err != nil && e.d.ctx.Err() == nil {
+		if err == nil {
+			lost = lossReport{}
+		} else if e.d.ctx.Err() == nil {
 			e.d.log.Debug("report lost", "host", addr, "services", len(observations), "err", err)
 		}
 	}
