Strip hop-by-hop headers in one place

forwarder and relayer each had a list of their own, and relayer's lacked Proxy-Authenticate and Proxy-Authorization, which would have gone to another host.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/stripper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -80,7 +81,7 @@
 	x.logAnswer(t, resp.Status, took, res.Load)
 	return &acceptor.Answer{
 		Status: resp.Status,
-		Header: forwardedHeader(resp.Header, func(string) bool { return false }),
+		Header: stripper.EndToEnd(resp.Header, func(string) bool { return false }),
 		Body:   body,
 	}, false
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/stripper"
 )
 
 // Reasons of refusals and failures, as they appear in logs and counters.
@@ -154,7 +154,7 @@
 	if x.mayRelay() && x.f.opts.Links.Lost() {
 		return x.relay(ctx)
 	}
-	x.header = forwardedHeader(x.req.Header, x.f.opts.Codec.Own)
+	x.header = stripper.EndToEnd(x.req.Header, x.f.opts.Codec.Own)
 	x.f.retryBudget(name).Deposit(x.f.opts.Limits.RetryShare)
 	if x.service.Keyed && x.f.opts.Meter != nil {
 		x.f.opts.Meter.RecordDemand(name, x.call.Key, x.f.serviceTime(route.Name).expected())
@@ -194,19 +194,3 @@
 		}
 	}
 }
-
-// connectionOptions returns the connection options: the names of the hop-by-hop headers that the Connection header
-// lists.
-func connectionOptions(h http.Header) map[string]bool {
-	values := h["Connection"]
-	if len(values) == 0 {
-		return nil
-	}
-	options := make(map[string]bool)
-	for _, v := range values {
-		for _, name := range strings.Split(v, ",") {
-			options[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return options
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -222,30 +221,3 @@
 	s.credits[best] -= total
 	return parts[best].Service
 }
-
-// hopByHop is the set of hop-by-hop headers, which apply to a single connection.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Expect":              true,
-}
-
-// forwardedHeader returns h without its hop-by-hop headers and without those for which exclude returns true.
-func forwardedHeader(h http.Header, exclude func(string) bool) http.Header {
-	out := make(http.Header, len(h))
-	options := connectionOptions(h)
-	for name, values := range h {
-		if hopByHop[name] || options[name] || exclude(name) {
-			continue
-		}
-		out[name] = values
-	}
-	return out
-}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -22,6 +22,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/signer"
+	"bramleyline.example/bramleyline/stripper"
 )
 
 const (
@@ -310,7 +311,7 @@
 		Method: req.Method,
 		URI:    req.URI,
 		Host:   req.Host,
-		Header: endToEnd(req.Header),
+		Header: stripper.EndToEnd(req.Header, ownHeader),
 		Fields: []sender.Field{
 			{
 				Name:  signer.HeaderID,
@@ -346,25 +347,12 @@
 	}
 	return &acceptor.Answer{
 		Status: resp.Status,
-		Header: endToEnd(resp.Header),
+		Header: stripper.EndToEnd(resp.Header, ownHeader),
 		Body:   body,
 	}, resp.Header.Get(signer.HeaderLinks) == "", nil
 }
 
-// endToEnd returns the headers that concern neither one connection nor the system itself.
-func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	for name, values := range h {
-		switch {
-		case strings.HasPrefix(name, "Bramleyline-"):
-		case name == "Connection" || name == "Keep-Alive" || name == "Transfer-Encoding" || name == "Te" || name == "Trailer" ||
-			name == "Upgrade" || name == "Expect" || name == "Proxy-Connection":
-		default:
-			out[name] = values
-		}
-	}
-	for _, option := range strings.Split(h.Get("Connection"), ",") {
-		delete(out, http.CanonicalHeaderKey(strings.TrimSpace(option)))
-	}
-	return out
+// ownHeader reports whether a header is one of the system itself.
+func ownHeader(name string) bool {
+	return strings.HasPrefix(name, "Bramleyline-")
 }
