Show that the control group is lost between two changes of its members

Broken: CONFIG. recruiter.Decide removes a silent voter before it promotes the learner that takes its place. A disk that is lost in the quarter of a second between the two leaves one voter of two, though only one disk is lost and all machines come back.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/bramleyline ] && [ -x target/standin ] || exit 2
-exec target/standin takeback target/bramleyline review/3/record.txt
+exec target/standin members target/bramleyline review/3/record.txt
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/bramleyline ] && [ -x target/standin ] || exit 2
-exec target/standin bodies target/bramleyline review/4/record.txt
+exec target/standin takeback target/bramleyline review/4/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,9 +34,10 @@
 		"bodies":   playBodies,
 		"fence":    playFence,
 		"roll":     playRoll,
+		"members":  playMembers,
 	}
 	if len(args) != 3 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin takeback|bodies|fence|roll PROGRAM RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin takeback|bodies|fence|roll|members PROGRAM RECORD")
 		return exitNotRun
 	}
 	rec, err := newRecord(args[2])
