Keep a leader's grants over a lapse of its lease

Cause: the coordinator dropped its Lessor when the lease of the leader lapsed, and made a new one when the lease was valid again. Renewals are not in the log, so those that the same leader had made later counted as expired, and keys of targets that did not answer went to others. The issuer and the adjudicator began anew, too.

Change: what belongs to a term is kept until the host is deposed or leads in another one. A call that was withdrawn in a lapse tells nothing about its target, and a call of an earlier term is not made in a later one.

It works since the lease becomes valid again only by answers of a majority in the same term: nobody else was elected, so what this host has granted, promised and counted is still true.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -51,8 +51,10 @@
 	wasLeading   bool
 
 	leadership atomic.Pointer[replicator.Lead]
-	contact    atomic.Pointer[leaderContact]
-	members    atomic.Pointer[[]journaler.Member]
+	// presiding is true while this host is the leader of its term, with or without a valid lease.
+	presiding atomic.Bool
+	contact   atomic.Pointer[leaderContact]
+	members   atomic.Pointer[[]journaler.Member]
 	// peerStatus is what Peers returns, as of peerStatusAt.
 	peerStatusAt time.Time
 	peerStatus   atomic.Pointer[[]replicator.Peer]
@@ -186,6 +188,13 @@
 	return l.Since, true
 }
 
+// Presiding reports whether this host is still the leader of the newest term that it knows of, even if its lease has lapsed.
+// If the lease becomes valid again while Presiding is true and Leading returns the same time as before, no other host was
+// elected meanwhile, and what this host has granted as the leader is still in force.
+func (c *Controller) Presiding() bool {
+	return c.presiding.Load()
+}
+
 // Contact returns the leader's name and the time since this host, the leader and a majority were last known to be in
 // contact. The name is empty if no leader is known.
 func (c *Controller) Contact() (leader string, age time.Duration) {
--- a/controller/diskfull.go
+++ b/controller/diskfull.go
@@ -18,6 +18,7 @@
 func (c *Controller) awaitDiskSpace(cause error) (resumed bool, err error) {
 	began := timekeeper.Now()
 	c.leadership.Store(nil)
+	c.presiding.Store(false)
 	c.peerStatus.Store(nil)
 	c.failPending()
 	counters.Add("diskFull", 1)
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -209,6 +209,7 @@
 	} else {
 		c.leadership.Store(nil)
 	}
+	c.presiding.Store(c.core.Presiding())
 	c.contact.Store(&leaderContact{
 		leader:    c.core.Leader(),
 		contactAt: c.core.MajorityContact(now),
@@ -234,6 +235,7 @@
 // finish ends the calls and proposals in progress, closes the journal and sets what Err returns.
 func (c *Controller) finish(err error) {
 	c.leadership.Store(nil)
+	c.presiding.Store(false)
 	for _, p := range c.peers {
 		p.close()
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -99,7 +99,8 @@
 }
 
 // callResult is the result of a call and the Lessor that asked for it. A leader that is elected again has a new Lessor,
-// which counts the calls of an earlier term as unanswered, so results for an earlier Lessor are ignored.
+// which counts the calls of an earlier term as unanswered, so results for an earlier Lessor are ignored. A Lessor outlives
+// lapses of the lease within a term.
 type callResult struct {
 	lessor *lessor.Lessor
 	msg    lessor.CallResultMsg
@@ -275,29 +276,12 @@
 	}
 }
 
-// tick makes the decisions that are due now and starts their calls and proposals. It drops the Lessor if this host does
-// not lead any more.
+// tick makes the decisions that are due now and starts their calls and proposals.
 func (s *Coordinator) tick() {
 	now := timekeeper.Now()
-	since, ok := s.opts.Controller.Leading(now)
-	if !ok {
-		if s.lessor != nil {
-			s.opts.Log.Info("leadership ended", "since", since)
-			s.issuer.Reset()
-		}
-		s.lessor = nil
+	if !s.followLeadership(now) {
 		return
 	}
-	if s.lessor == nil || !since.Equal(s.leadingSince) {
-		s.opts.Log.Info("leadership began", "index", s.opts.Controller.State().Index)
-		s.leadingSince = since
-		s.issuer.Reset()
-		s.adjudicator.Reset()
-		s.lessor = lessor.New(since, lessor.Settings{
-			Hold:        s.opts.Hold,
-			CallTimeout: grantTimeout,
-		})
-	}
 	s.updateMembers(now)
 	st := s.opts.Controller.State()
 	s.updateLimits(now, st.Registry)
@@ -313,7 +297,7 @@
 		Estimators: s.estimators,
 	})
 	for _, c := range e.Calls {
-		go s.call(s.lessor, c)
+		go s.call(s.lessor, s.leadingSince, c)
 	}
 	if len(e.Changes) > 0 {
 		s.proposalPending = true
@@ -321,6 +305,32 @@
 	}
 }
 
+// followLeadership begins and ends what is kept for one term of leadership, and reports whether this host leads. While its
+// lease has lapsed and no other host was elected, it keeps everything and does nothing: grants are renewed without an entry
+// in the log, so a new Lessor would not know until when they last.
+func (s *Coordinator) followLeadership(now time.Time) bool {
+	since, ok := s.opts.Controller.Leading(now)
+	if !ok {
+		if s.lessor != nil && !s.opts.Controller.Presiding() {
+			s.opts.Log.Info("leadership ended", "since", s.leadingSince)
+			s.issuer.Reset()
+			s.lessor = nil
+		}
+		return false
+	}
+	if s.lessor == nil || !since.Equal(s.leadingSince) {
+		s.opts.Log.Info("leadership began", "index", s.opts.Controller.State().Index)
+		s.leadingSince = since
+		s.issuer.Reset()
+		s.adjudicator.Reset()
+		s.lessor = lessor.New(since, lessor.Settings{
+			Hold:        s.opts.Hold,
+			CallTimeout: grantTimeout,
+		})
+	}
+	return true
+}
+
 // updateLimits starts the commit of the limits that targets stated and that reg lacks.
 func (s *Coordinator) updateLimits(now time.Time, reg registrar.Registry) {
 	if now.Sub(s.limitsAt) < limitInterval || s.limitsPending.Load() {
@@ -374,8 +384,8 @@
 	return names
 }
 
-// call makes one call to a target, if this host still leads, and passes the result to the control loop.
-func (s *Coordinator) call(l *lessor.Lessor, c lessor.CallMsg) {
+// call makes one call to a target, if this host still leads since the given time, and passes the result to the control loop.
+func (s *Coordinator) call(l *lessor.Lessor, since time.Time, c lessor.CallMsg) {
 	timeout := grantTimeout
 	if c.IsRelease() {
 		timeout = releaseTimeout
@@ -383,11 +393,12 @@
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
 	m := lessor.CallResultMsg{
-		Call:    c,
-		NotSent: true,
-		Err:     controller.ErrNotLeader,
+		Call:      c,
+		NotSent:   true,
+		Withdrawn: true,
+		Err:       controller.ErrNotLeader,
 	}
-	if s.leads() {
+	if current, ok := s.opts.Controller.Leading(timekeeper.Now()); ok && current.Equal(since) {
 		counters.Add("calls", 1)
 		m = s.opts.Caller.Call(ctx, c)
 	}
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -260,6 +260,11 @@
 		h.granting = false
 	}
 	switch {
+	case m.Withdrawn:
+		if m.Call.Grant != nil && !m.Call.SameConnection {
+			delete(h.sentFences, key.fence)
+		}
+		return
 	case m.Answered:
 		h.failures = 0
 	case m.Disconnected:
--- a/lessor/lessor_test.go
+++ b/lessor/lessor_test.go
@@ -118,3 +118,35 @@
 	}
 	c.Assert(len(sentFences) > 0, qt.IsTrue)
 }
+
+// Guards against a lapse of the lease that makes healthy targets unresponsive, or that sends a renewal over a new connection,
+// which may reach the next incarnation of the target under the fence of the previous one.
+func TestWithdrawnCallsTellNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newSimulation(t, 1, 2)
+	s.run(2500 * time.Millisecond)
+	withdrawn := make(map[spanKey]bool)
+	for range 400 {
+		s.now = s.now.Add(simStep)
+		e := s.lessor.Tick(s.now, View{
+			Registry: s.reg,
+			Services: []string{"tally"},
+			Out:      func(string) bool { return false },
+		})
+		for _, call := range e.Calls {
+			if withdrawn[keyOf(call)] {
+				c.Assert(call.SameConnection, qt.IsTrue)
+			}
+			withdrawn[keyOf(call)] = withdrawn[keyOf(call)] || call.SameConnection
+			s.lessor.HandleResult(s.now, CallResultMsg{
+				Call:      call,
+				NotSent:   true,
+				Withdrawn: true,
+			})
+		}
+	}
+	c.Assert(len(withdrawn) > 0, qt.IsTrue)
+	for _, h := range s.lessor.holders {
+		c.Assert(h.failures, qt.Equals, 0)
+	}
+}
--- a/lessor/message.go
+++ b/lessor/message.go
@@ -38,6 +38,9 @@
 	// NotSent says that the call was not sent, for example for lack of a connection. It has not taken effect and will
 	// not.
 	NotSent bool
+	// Withdrawn says that the call was not made because this host did not lead at that moment. It tells nothing about the
+	// target.
+	Withdrawn bool
 	// Disconnected says that a call with SameConnection was not sent because no connection was open.
 	Disconnected bool
 	// Fenced says that the target rejected the call because it has seen a higher fence.
--- a/replicator/lease.go
+++ b/replicator/lease.go
@@ -29,6 +29,11 @@
 	return l, now.Before(l.Until)
 }
 
+// Presiding reports whether this member is the leader of its term, whether its lease is valid or not.
+func (r *Replicator) Presiding() bool {
+	return r.role == leader
+}
+
 // Leader returns the name of the leader of the term, or an empty string if it is unknown.
 func (r *Replicator) Leader() string {
 	return r.leader
