Promote a learner before the voter is removed that it replaces

Cause: recruiter.Decide removed an unresponsive voter before it promoted the learner in its place, a quarter of a second apart. Between the two a group of three has two voters, and one lost disk leaves no majority of logs.

The cases of TestDecide that asked for the removal first now ask for the promotion, and for the removal once the learner votes.

Change: promote first, remove only from a group with more voters than it should have, check again 20 ms after a change, and replace a voter after 2.5 s of silence, so that a lost machine is repaired before its loss no longer counts (catch_up_s, 4 s).

It works since 2n+1 voters keep a majority of logs over n lost disks: a voter that is only away counts and comes back with its log.

--- a/controller/loop.go
+++ b/controller/loop.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -216,8 +217,8 @@
 		currentAt: c.core.CurrentAsOf(now),
 	})
 	members := c.core.Members()
-	c.members.Store(&members)
-	if now.Sub(c.peerStatusAt) >= peerStatusInterval {
+	old := c.members.Swap(&members)
+	if now.Sub(c.peerStatusAt) >= peerStatusInterval || old == nil || !slices.Equal(*old, members) {
 		peers := c.core.Peers(now)
 		c.peerStatusAt = now
 		c.peerStatus.Store(&peers)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -31,8 +31,10 @@
 	// tickInterval is the longest time between two decisions. A new state, a failed call, the answer to a release or the
 	// end of a proposal triggers one earlier.
 	tickInterval = 50 * time.Millisecond
-	// memberInterval is the time between two checks of the membership of the control group.
+	// memberInterval is the time between two checks of the membership of the control group, and nextMemberWait the time
+	// from a change to the next check. A replacement takes two changes, and between them there is one voter too many.
 	memberInterval = 250 * time.Millisecond
+	nextMemberWait = 20 * time.Millisecond
 	// grantTimeout bounds a grant call, which is answered within a few milliseconds unless something is wrong.
 	grantTimeout = time.Second
 	// releaseTimeout bounds a release call, which is answered when the requests in progress on its keys have ended.
@@ -78,9 +80,11 @@
 	leadingSince     time.Time
 	proposalPending  bool
 	membersCheckedAt time.Time
-	tableCache       cacher.Cacher
-	table            *matcher.Table
-	estimators       map[string]*estimator.Estimator
+	// memberChanged receives a value when a change of the member list was committed.
+	memberChanged chan struct{}
+	tableCache    cacher.Cacher
+	table         *matcher.Table
+	estimators    map[string]*estimator.Estimator
 	// adjudicator decides which requests are refused because they crash their targets. quarantinePending says that a
 	// decision is being committed.
 	adjudicator       adjudicator.Adjudicator
@@ -127,11 +131,12 @@
 // New returns a Coordinator that has not started.
 func New(o Options) *Coordinator {
 	s := Coordinator{
-		opts:         o,
-		callResults:  make(chan callResult, 1024),
-		reports:      make(chan []ServiceLoadMsg, 256),
-		proposalDone: make(chan struct{}, 1),
-		estimators:   make(map[string]*estimator.Estimator),
+		opts:          o,
+		callResults:   make(chan callResult, 1024),
+		reports:       make(chan []ServiceLoadMsg, 256),
+		proposalDone:  make(chan struct{}, 1),
+		memberChanged: make(chan struct{}, 1),
+		estimators:    make(map[string]*estimator.Estimator),
 		tableCache: cacher.Cacher{
 			Decode: o.Decode,
 		},
@@ -222,6 +227,8 @@
 		case <-s.proposalDone:
 			s.proposalPending = false
 			return true
+		case <-s.memberChanged:
+			s.membersCheckedAt = timekeeper.Now().Add(nextMemberWait - memberInterval)
 		case reports := <-s.reports:
 			s.addLoad(reports)
 		}
@@ -467,4 +474,11 @@
 		err = s.opts.Controller.Remove(ctx, c.Remove)
 	}
 	s.opts.Log.Info("member change", "promote", c.Promote, "remove", c.Remove, "err", err)
+	if err != nil {
+		return
+	}
+	select {
+	case s.memberChanged <- struct{}{}:
+	default:
+	}
 }
--- a/recruiter/recruiter.go
+++ b/recruiter/recruiter.go
@@ -1,6 +1,10 @@
 // Package recruiter is the membership policy of the control group. It decides on the control leader which members to
 // remove, because they lost their disk or are unavailable for good, and which learners to promote in their place, one
 // change at a time.
+//
+// A learner is promoted before the voter is removed whose place it takes, so that the group never has fewer voters than
+// it should have. With 2n+1 voters or more, a majority of them keeps its log when n disks are lost, whatever the others
+// do meanwhile: those that were only unresponsive come back with their logs.
 package recruiter
 
 import (
@@ -10,9 +14,10 @@
 )
 
 const (
-	// replaceAfter is how long a voter may be unresponsive before it is removed and a learner that stands ready takes its
-	// place. A restart takes about a second, and most network partitions last a few seconds.
-	replaceAfter = 4 * time.Second
+	// replaceAfter is how long a voter may be unresponsive before a learner that stands ready takes its place. A restart
+	// takes about a second. A host that is gone for good has to be replaced before its loss no longer counts, 4 s after
+	// its successor has started: then the group must be able to lose another disk.
+	replaceAfter = 2500 * time.Millisecond
 	// responsiveWithin is the longest time since the last answer of a member that still counts as responsive.
 	responsiveWithin = time.Second
 	// removeLearnerAfter is how long a learner may be unresponsive before it is removed. It asks to join again when it
@@ -37,35 +42,41 @@
 // Decide returns the next change that the leader should make, false if there is none. peers are the other members.
 func (r Recruiter) Decide(peers []replicator.Peer) (Change, bool) {
 	voters, responsive := 1, 1
-	var candidate string
-	for _, p := range peers {
+	var candidate, excess *replicator.Peer
+	for i := range peers {
+		p := &peers[i]
 		switch {
 		case !p.Learner:
 			voters++
 			if p.SinceAnswered < responsiveWithin {
 				responsive++
 			}
-		case p.CaughtUp && p.SinceAnswered < responsiveWithin && candidate == "":
-			candidate = p.Name
+			if excess == nil || p.SinceAnswered > excess.SinceAnswered {
+				excess = p
+			}
+		case p.CaughtUp && p.SinceAnswered < responsiveWithin && candidate == nil:
+			candidate = p
 		}
 	}
-	if name, ok := replacedVoter(peers); ok && safeToRemove(voters, responsive) {
-		return Change{
-			Remove: name,
-		}, true
-	}
-	if voters < r.Voters && candidate != "" {
+	replaced := replacedVoter(peers)
+	switch {
+	case voters > max(1, r.Voters):
+		if replaced != nil {
+			excess = replaced
+		}
+		if safeToRemove(voters, responsive, excess) {
+			return Change{
+				Remove: excess.Name,
+			}, true
+		}
+	case candidate == nil || !safeToPromote(voters, responsive):
+	case voters < r.Voters || replaced != nil || excess != nil && excess.SinceAnswered > replaceAfter:
 		return Change{
-			Promote: candidate,
+			Promote: candidate.Name,
 		}, true
 	}
 	for _, p := range peers {
-		switch {
-		case p.Learner && p.SinceAnswered > removeLearnerAfter:
-			return Change{
-				Remove: p.Name,
-			}, true
-		case !p.Learner && p.SinceAnswered > replaceAfter && candidate != "" && safeToRemove(voters, responsive):
+		if p.Learner && p.SinceAnswered > removeLearnerAfter {
 			return Change{
 				Remove: p.Name,
 			}, true
@@ -74,24 +85,33 @@
 	return Change{}, false
 }
 
-// replacedVoter returns an unresponsive voter whose address now belongs to another member that has caught up: the
-// process and the disk of the voter are gone.
-func replacedVoter(peers []replicator.Peer) (string, bool) {
-	for _, p := range peers {
+// replacedVoter returns an unresponsive voter whose address now belongs to another member that has caught up, nil if
+// there is none: the process and the disk of the voter are gone.
+func replacedVoter(peers []replicator.Peer) *replicator.Peer {
+	for i := range peers {
+		p := &peers[i]
 		if p.Learner || p.SinceAnswered < responsiveWithin {
 			continue
 		}
 		for _, q := range peers {
 			if q.Name != p.Name && q.Addr == p.Addr && q.CaughtUp && q.SinceAnswered < responsiveWithin {
-				return p.Name, true
+				return p
 			}
 		}
 	}
-	return "", false
+	return nil
+}
+
+// safeToPromote reports whether the responsive voters and a learner that becomes one are a majority of all voters then.
+func safeToPromote(voters, responsive int) bool {
+	return responsive+1 > (voters+1)/2
 }
 
-// safeToRemove reports whether the responsive voters are a majority both before and after an unresponsive voter is
-// removed.
-func safeToRemove(voters, responsive int) bool {
-	return responsive > voters/2 && responsive > (voters-1)/2
+// safeToRemove reports whether the responsive voters are a majority both before and after a voter is removed.
+func safeToRemove(voters, responsive int, removed *replicator.Peer) bool {
+	remaining := responsive
+	if removed.SinceAnswered < responsiveWithin {
+		remaining--
+	}
+	return responsive > voters/2 && remaining > (voters-1)/2
 }
--- a/recruiter/recruiter_test.go
+++ b/recruiter/recruiter_test.go
@@ -51,6 +51,18 @@
 		{
 			name:  "long absence",
 			peers: []replicator.Peer{peer("b2", false, 5*time.Second), peer("c3", false, 0), peer("d4", true, 0)},
+			want:  Change{Promote: "d4"},
+		},
+		{
+			name: "long absence after the learner has taken the place",
+			peers: []replicator.Peer{
+				peer("b2", false, 5*time.Second), peer("c3", false, 0), peer("d4", false, 0),
+			},
+			want: Change{Remove: "b2"},
+		},
+		{
+			name:  "voter comes back after its place was taken",
+			peers: []replicator.Peer{peer("b2", false, 20*time.Millisecond), peer("c3", false, 0), peer("d4", false, 0)},
 			want:  Change{Remove: "b2"},
 		},
 		{
@@ -60,7 +72,15 @@
 		{
 			name:  "voter whose address has another identity",
 			peers: []replicator.Peer{peer("b2", false, 1500*time.Millisecond), peer("c3", false, 0), peer("x2", true, 0)},
-			want:  Change{Remove: "b2"},
+			want:  Change{Promote: "x2"},
+		},
+		{
+			name: "another identity has taken the place",
+			peers: []replicator.Peer{
+				peer("b2", false, 1500*time.Millisecond), peer("c3", false, 2*time.Second), peer("d4", false, 0), peer("e5", false, 0),
+				peer("x2", false, 0),
+			},
+			want: Change{Remove: "b2"},
 		},
 		{
 			name: "too few voters are responsive",
