Refuse requests that a stopping entry host may not finish

Cause: idle connections stayed open until the host stopped accepting, and nothing compared the rest of the grace with the time that a request may take.

Change: idle connections are closed one after the other 2.0 to 2.6 s after the start of a stop. A request that may last longer than the host is refused at once, before it is taken, before each attempt and before it is passed to another host; as not run only where that is true.

It works since the time until the deadline bounds each request, and the balancer has noticed the stop before callers have to come back.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +30,8 @@
 	maxConnections = 2500
 	// acceptBackoff is the pause after a failed accept, which happens when the process has no file descriptor left.
 	acceptBackoff = 10 * time.Millisecond
+	// closeInterval is the time between two steps of CloseIdle.
+	closeInterval = 10 * time.Millisecond
 )
 
 var counters = expvar.NewMap("acceptor")
@@ -94,6 +98,29 @@
 	a.draining.Store(true)
 }
 
+// CloseIdle closes the connections without a request, one after the other within the time d, so that their callers do not all
+// connect again at the same moment. Requests that callers have already sent are still answered. It returns when all are closed,
+// or when ctx ends.
+func (a *Acceptor) CloseIdle(ctx context.Context, d time.Duration) {
+	a.mu.Lock()
+	conns := slices.Collect(maps.Keys(a.conns))
+	a.mu.Unlock()
+	began := time.Now()
+	ticker := time.NewTicker(closeInterval)
+	defer ticker.Stop()
+	for closed := 0; closed < len(conns); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		share := min(1, float64(time.Since(began))/float64(d))
+		for ; closed < int(share*float64(len(conns))); closed++ {
+			conns[closed].endIdle()
+		}
+	}
+}
+
 // Finish is a graceful shutdown: it stops accepting, closes connections without a request and waits for the others
 // until ctx ends. Requests that callers have already sent are still answered: connections that wait to be accepted and
 // requests that wait to be read are taken for another shutdownGrace.
--- a/acceptor/stop_test.go
+++ b/acceptor/stop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,60 @@
 		})
 	}
 }
+
+// Guards against a stopping host that keeps idle connections until it ends, on which callers send requests that it has no time
+// for, and against closing them all at once, so that their callers connect again at the same moment.
+func TestIdleConnectionsAreClosedOneAfterTheOther(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	release := make(chan struct{})
+	a := Acceptor{
+		Handler: handlerFunc(func(ctx context.Context, r *Request) *Answer {
+			if r.Path == "/slow" {
+				<-release
+			}
+			return echo(ctx, r)
+		}),
+	}
+	a.Start(ln)
+	const callers, spread = 40, 800 * time.Millisecond
+	closedAfter := make(chan time.Duration, callers)
+	var began time.Time
+	ready := make(chan struct{})
+	for range callers {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = conn.Close() })
+		br := bufio.NewReader(conn)
+		_, err = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		_, _ = readAnswer(c, br)
+		go func() {
+			<-ready
+			_, _ = br.ReadByte()
+			closedAfter <- time.Since(began)
+		}()
+	}
+	busy, err := net.Dial("tcp", ln.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = busy.Close() })
+	_, err = io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	began = time.Now()
+	close(ready)
+	a.Drain()
+	a.CloseIdle(context.Background(), spread)
+	var all []time.Duration
+	for range callers {
+		all = append(all, <-closedAfter)
+	}
+	slices.Sort(all)
+	c.Assert(all[callers/4] < spread*3/4, qt.IsTrue, qt.Commentf("%v", all))
+	c.Assert(all[callers*3/4]-all[callers/4] > spread/4, qt.IsTrue, qt.Commentf("%v", all))
+	close(release)
+	resp, body := readAnswer(c, bufio.NewReader(busy))
+	c.Assert(body, qt.Equals, "/slow ")
+	c.Assert(resp.Close, qt.IsTrue)
+	c.Assert(a.Finish(context.Background()), qt.IsNil)
+}
--- a/director/entry.go
+++ b/director/entry.go
@@ -51,6 +51,11 @@
 	// balancerTime is how long the balancer may continue to send new connections after this host became not ready: it
 	// checks readiness each second and removes a host after two failed checks.
 	balancerTime = 3 * time.Second
+	// noticeTime is the time in which the balancer usually notices that, and idleCloseTime the time after it in which idle
+	// connections are closed. Callers that connect again go to other hosts then, and none sends a request over a connection
+	// that it kept when this host stops to accept them.
+	noticeTime    = 2 * time.Second
+	idleCloseTime = 600 * time.Millisecond
 	// drainShare and outShare are the shares of the settings' DrainTime and OutTime for which an entry host still sends
 	// requests after it learned of a drain or a takeout. The rest is for the delay until the last host learns of it: the
 	// settings' times begin with the acknowledgement.
@@ -76,6 +81,8 @@
 	view    *viewer.View
 	changed chan struct{}
 	limits  atomic.Pointer[matcher.Limits]
+	// stopTimes is nil until the host stops.
+	stopTimes atomic.Pointer[forwarder.Stop]
 
 	meter meter
 	// suspects records the requests that are suspected of crashing their targets.
@@ -130,6 +137,7 @@
 		Dial:        d.dialTarget,
 		Links:       e.links.detector,
 		Relay:       e.links.relayer.Relay,
+		Stopping:    e.stopping,
 		Limits: forwarder.Limits{
 			RetryShare: retrySafety * s.Direct.RetryShare,
 			RetrySlack: retrySafety * s.Direct.RetrySlack,
@@ -326,16 +334,33 @@
 	return max(reportInterval, time.Duration(v.Hosts/controls)*time.Second/reportRate)
 }
 
-// stop drains the host: it serves new connections until the balancer has noticed that the host is not ready, then
-// answers the requests in progress.
+// stopping returns the times of the stop in progress, false if there is none.
+func (e *entry) stopping() (forwarder.Stop, bool) {
+	if s := e.stopTimes.Load(); s != nil {
+		return *s, true
+	}
+	return forwarder.Stop{}, false
+}
+
+// stop drains the host: it serves new connections until the balancer has noticed that the host is not ready, closes idle ones,
+// then answers the requests in progress. Requests that may last longer than ctx are refused.
 func (e *entry) stop(ctx context.Context) {
 	began := timekeeper.Now()
+	times := forwarder.Stop{
+		NoticedAt: time.Now().Add(noticeTime),
+	}
+	times.EndsAt, _ = ctx.Deadline()
+	e.stopTimes.Store(&times)
 	e.acceptor.Drain()
 	e.links.acceptor.Drain()
+	balancer, cancel := context.WithTimeout(ctx, balancerTime)
+	defer cancel()
 	select {
-	case <-time.After(balancerTime):
-	case <-ctx.Done():
+	case <-time.After(noticeTime):
+		e.acceptor.CloseIdle(balancer, idleCloseTime)
+	case <-balancer.Done():
 	}
+	<-balancer.Done()
 	err := e.acceptor.Finish(ctx)
 	e.links.stop(ctx)
 	e.sender.Close()
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -31,6 +31,8 @@
 	// reasonRelayBusy means that this host has lost its links, and the others cannot take more of its requests.
 	reasonRelayBusy  = "relayBusy"
 	reasonCallerLeft = "callerLeft"
+	// reasonStopping means that this host stops and may end before the request does.
+	reasonStopping = "stopping"
 )
 
 const (
@@ -151,6 +153,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if a := x.refuseInStop(); a != nil {
+		return a
+	}
 	if x.mayRelay() && x.f.opts.Links.Lost() {
 		return x.relay(ctx)
 	}
@@ -175,6 +180,9 @@
 			}
 			return refusal
 		}
+		if a := x.refuseInStop(); a != nil {
+			return a
+		}
 		if x.attempts > 0 && !x.f.withdrawRetry(x.service.Name) {
 			return x.giveUp(reasonOverloaded, x.retryAfter)
 		}
@@ -186,6 +194,9 @@
 			return x.contextEnded(ctx)
 		}
 		if x.relayAfterFailure(ctx) {
+			if a := x.refuseInStop(); a != nil {
+				return a
+			}
 			return x.relay(ctx)
 		}
 		if !retry || x.possibleRuns >= max(1, x.route.MaxAttempts) || x.attempts >= maxTotalAttempts ||
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -36,6 +36,8 @@
 	// issuer issues the tokens of the control leader, and noLeader says that there is none.
 	issuer   issuer.Issuer
 	noLeader atomic.Bool
+	// stop is the stop in progress, nil if there is none.
+	stop atomic.Pointer[Stop]
 
 	mu      sync.Mutex
 	view    *viewer.View
@@ -109,6 +111,12 @@
 			Log:     log.New(io.Discard),
 		}),
 		Log: log.New(io.Discard),
+		Stopping: func() (Stop, bool) {
+			if s := b.stop.Load(); s != nil {
+				return *s, true
+			}
+			return Stop{}, false
+		},
 		Limits: Limits{
 			RetryShare: 0.2,
 			RetrySlack: 50,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	// be nil.
 	Links Links
 	Relay func(ctx context.Context, r *acceptor.Request, deadline time.Time) (*acceptor.Answer, *sender.Fault)
+	// Stopping describes the planned stop of this host, and reports whether one is in progress. It may be nil.
+	Stopping func() (Stop, bool)
 	// Meter receives the demand and the observed times of keyed services; it may be nil.
 	Meter Meter
 	// Limits bounds retries, requests to cold targets and requests to owners that are leaving.
