Compare orders with newer ones before they are proposed

Cause: an order to take a data centre out or to restore it has neither a number nor a time, and the last one committed won. A control host that was frozen read an order whose sender had left, and carried it out over newer ones.

Change: the host notes the index of its state, makes sure that the sender still waits, and proposes the order with that index; the leader refuses it if its log has a newer entry on the same subject.

It works since a newer order follows only after an acknowledgement of the older one: its entry is after the index that was noted, or the sender had left before.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -14,6 +14,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/compressor"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/proposer"
 	"bramleyline.example/bramleyline/registrar"
 )
 
@@ -27,6 +28,12 @@
 	// freshCheckInterval is the longest time between two checks; hundreds of announcements may wait at once.
 	freshTimeout       = 900 * time.Millisecond
 	freshCheckInterval = 150 * time.Millisecond
+	// orderTimeout bounds the commit of an order without a number: its sender tries another host after a second, and then sends
+	// newer orders.
+	orderTimeout = time.Second
+	// senderCheckTime is how long such an order is held before it is proposed. A host that was frozen reads orders whose senders
+	// have left long ago; in this time it reads that they have closed their connections, too.
+	senderCheckTime = 50 * time.Millisecond
 	// maxTableBytes bounds the decompressed text of a table.
 	maxTableBytes = 64 << 20
 )
@@ -46,6 +53,8 @@
 // Proposer commits commands at the control leader.
 type Proposer interface {
 	Propose(ctx context.Context, cmd applier.Command) (applier.Result, error)
+	// ProposeAfter commits an order unless it was superseded after a log index; the error is then proposer.ErrSuperseded.
+	ProposeAfter(ctx context.Context, basis uint64, cmd applier.Command) (applier.Result, error)
 }
 
 // Committer handles control requests. All fields are required.
@@ -162,9 +171,7 @@
 
 // SetOut takes a data centre out of service or restores it.
 func (c *Committer) SetOut(ctx context.Context, dataCentre string, out bool) error {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	r, err := c.Proposer.Propose(ctx, applier.Command{
+	r, err := c.proposeOrder(ctx, applier.Command{
 		SetService: &applier.SetServiceMsg{
 			DataCentre: dataCentre,
 			Out:        out,
@@ -176,6 +183,36 @@
 	return errors.Wrap(err, "takeout")
 }
 
+// proposeOrder commits an order that has neither a number nor a time, unless it is outdated. ctx has to end when the sender
+// closes its connection: an order whose sender has left was sent to another host, too, and newer ones may have followed. The
+// state is read before the sender is known to wait, so the leader finds any newer order after it.
+func (c *Committer) proposeOrder(ctx context.Context, cmd applier.Command) (applier.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	for {
+		changed := c.State.Changed()
+		basis := c.State.State().Index
+		if basis == 0 {
+			return applier.Result{}, errors.Wrap(ErrStaleState, "there is no state yet")
+		}
+		select {
+		case <-time.After(senderCheckTime):
+		case <-ctx.Done():
+			return applier.Result{}, errors.Wrap(ctx.Err(), "sender has left")
+		}
+		r, err := c.Proposer.ProposeAfter(ctx, basis, cmd)
+		if !errors.Is(err, proposer.ErrSuperseded) {
+			return r, err
+		}
+		// The sender still waits: its order is the newer one, or a repetition of the one that was found.
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return applier.Result{}, err
+		}
+	}
+}
+
 func (c *Committer) propose(ctx context.Context, change registrar.Change) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/proposer"
 	"bramleyline.example/bramleyline/registrar"
 )
 
@@ -21,6 +22,8 @@
 	mu    sync.Mutex
 	state *applier.State
 	lag   time.Duration
+	// changed is closed at the next change; a nil channel blocks.
+	changed chan struct{}
 }
 
 func (f *fakeState) State() *applier.State {
@@ -36,7 +39,9 @@
 }
 
 func (f *fakeState) Changed() <-chan struct{} {
-	return nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
 }
 
 func (f *fakeState) set(st *applier.State, lag time.Duration) {
@@ -45,10 +50,23 @@
 	f.state, f.lag = st, lag
 }
 
-// fakeProposer counts the proposed commands.
+// fakeProposer counts the proposed commands. Orders on a state before newest are superseded.
 type fakeProposer struct {
 	mu        sync.Mutex
 	proposals int
+	newest    uint64
+	bases     []uint64
+}
+
+func (f *fakeProposer) ProposeAfter(_ context.Context, basis uint64, _ applier.Command) (applier.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bases = append(f.bases, basis)
+	if basis < f.newest {
+		return applier.Result{}, proposer.ErrSuperseded
+	}
+	f.proposals++
+	return applier.Result{}, nil
 }
 
 func (f *fakeProposer) Propose(context.Context, applier.Command) (applier.Result, error) {
@@ -111,3 +129,54 @@
 	c.Assert(errors.Is(err, ErrStaleState), qt.IsTrue)
 	c.Assert(p.proposals, qt.Equals, 0)
 }
+
+// Guards against an order whose sender has left, and has sent it to another host and newer ones after it: a host that was
+// frozen must not carry it out.
+func TestOrderOfASenderThatLeftIsNotProposed(t *testing.T) {
+	c := qt.New(t)
+	st, p := &fakeState{}, &fakeProposer{}
+	st.set(&applier.State{
+		Index: 7,
+	}, 0)
+	k := Committer{
+		State:    st,
+		Proposer: p,
+		Log:      log.New(io.Discard),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(senderCheckTime/5, cancel)
+	c.Assert(k.SetOut(ctx, "dc", false), qt.IsNotNil)
+	c.Assert(p.bases, qt.HasLen, 0)
+
+	// A host without a state cannot tell which orders are newer.
+	st.set(&applier.State{}, 0)
+	c.Assert(errors.Is(k.SetOut(context.Background(), "dc", false), ErrStaleState), qt.IsTrue)
+}
+
+// Guards against an order that is refused because another one came at the same time: its sender still waits, so it is compared
+// again with the newer state.
+func TestOrderIsComparedAgainWhileItsSenderWaits(t *testing.T) {
+	c := qt.New(t)
+	changed := make(chan struct{})
+	st, p := &fakeState{
+		state: &applier.State{
+			Index: 7,
+		},
+		changed: changed,
+	}, &fakeProposer{
+		newest: 9,
+	}
+	k := Committer{
+		State:    st,
+		Proposer: p,
+		Log:      log.New(io.Discard),
+	}
+	time.AfterFunc(3*senderCheckTime, func() {
+		st.set(&applier.State{
+			Index: 9,
+		}, 0)
+		close(changed)
+	})
+	c.Assert(k.SetOut(context.Background(), "dc", false), qt.IsNil)
+	c.Assert(p.bases, qt.DeepEquals, []uint64{7, 9})
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,6 +25,9 @@
 	ErrNotLeader = errors.New("not the control leader")
 	// ErrOutcomeUnknown reports a proposal that may have been applied or may still be.
 	ErrOutcomeUnknown = errors.New("command may have been applied")
+	// ErrSuperseded reports an order that was not appended, because the log has a newer command on the same subject than its
+	// sender knew of, or may have had one.
+	ErrSuperseded = errors.New("superseded by a newer command")
 	// ErrStopped reports a controller that was closed or whose journal failed.
 	ErrStopped = errors.New("controller has stopped")
 )
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -83,7 +83,10 @@
 		}
 		select {
 		case r := <-c.requests:
-			if r.change != nil {
+			if r.change != nil || r.basis != 0 {
+				// What was queued before goes first, so that the order is compared with it.
+				c.proposeBatch(commands)
+				commands = nil
 				c.handleRequest(r)
 			} else {
 				commands = append(commands, r)
--- a/controller/propose.go
+++ b/controller/propose.go
@@ -16,6 +16,9 @@
 // request asks the update loop to append a command or to change the member list.
 type request struct {
 	command []byte
+	// basis is the log index of the state on which an order is based: it is refused if a later entry supersedes it. Zero
+	// means that the command may be applied on any state.
+	basis uint64
 	// change changes the member list and returns the log index of the change; it is nil for a command.
 	change  func(now time.Time) (uint64, error)
 	outcome chan outcome
@@ -59,6 +62,12 @@
 
 func (c *Controller) handleRequest(r request) {
 	if r.change == nil {
+		if err := c.checkBasis(r); err != nil {
+			r.outcome <- outcome{
+				err: err,
+			}
+			return
+		}
 		c.proposeBatch([]request{r})
 		return
 	}
@@ -78,6 +87,35 @@
 	}
 }
 
+// checkBasis returns ErrSuperseded if an entry after the basis of r supersedes it. It reads the log instead of the state, so that
+// it also sees entries that are not committed yet, and members of older versions apply the same entries.
+func (c *Controller) checkBasis(r request) error {
+	if r.basis == 0 || !c.core.Presiding() {
+		return nil
+	}
+	order, err := applier.DecodeCommand(r.command)
+	if err != nil {
+		return err
+	}
+	entries, ok := c.core.EntriesAfter(r.basis)
+	if !ok {
+		return errors.Wrapf(ErrSuperseded, "entries after %d are compacted", r.basis)
+	}
+	for _, e := range entries {
+		if e.Kind != journaler.KindCommand {
+			continue
+		}
+		cmd, err := applier.DecodeCommand(e.Data)
+		if err != nil {
+			return errors.Wrapf(err, "entry %d", e.Index)
+		}
+		if cmd.Supersedes(order) {
+			return errors.Wrapf(ErrSuperseded, "entry %d is newer than %d", e.Index, r.basis)
+		}
+	}
+	return nil
+}
+
 func (c *Controller) proposeBatch(requests []request) {
 	if len(requests) == 0 {
 		return
--- a/controller/service.go
+++ b/controller/service.go
@@ -58,6 +58,9 @@
 type ProposeArgs struct {
 	Command []byte
 	Timeout time.Duration
+	// Basis is the log index of the state that the sender of an order knew when it read the order. The leader refuses the order
+	// if a later command supersedes it. Zero means no comparison; hosts of older versions make none.
+	Basis uint64
 }
 
 // ProposeReply is the answer of State.Propose.
@@ -66,6 +69,8 @@
 	// NotLeader is true if the command was not applied by this call; Leader is then the leader's name, if it is known.
 	NotLeader bool
 	Leader    string
+	// Superseded is true if the command was refused because of Basis.
+	Superseded bool
 	// Unknown is true if the command may have been applied. Reason is the error text, for NotLeader too.
 	Unknown bool
 	Reason  string
@@ -133,12 +138,15 @@
 	defer cancel()
 	result, err := s.c.submit(ctx, request{
 		command: args.Command,
+		basis:   args.Basis,
 		outcome: make(chan outcome, 1),
 	})
 	switch {
 	case err == nil:
 		reply.Result, err = applier.EncodeResult(result)
 		return err
+	case errors.Is(err, ErrSuperseded):
+		reply.Superseded = true
 	case errors.Is(err, ErrOutcomeUnknown):
 		reply.Unknown = true
 	default:
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -29,6 +29,9 @@
 	ErrNotApplied = errors.New("command was not applied")
 	// ErrMaybeApplied reports a command whose outcome is unknown: it may have been applied or may still be.
 	ErrMaybeApplied = errors.New("command may have been applied")
+	// ErrSuperseded reports an order that the leader refused because a newer command decides on the same subject. An attempt
+	// before may have been applied: the newer command may be the order itself.
+	ErrSuperseded = errors.New("order was superseded")
 )
 
 // Proposer proposes commands to the control leader, whichever host that is. It is safe for concurrent use.
@@ -46,6 +49,12 @@
 // Propose proposes cmd until a leader answers or ctx ends. It also retries after an attempt whose outcome is unknown,
 // so cmd must have a RequestID or be idempotent by itself. The errors are ErrNotApplied and ErrMaybeApplied.
 func (p *Proposer) Propose(ctx context.Context, cmd applier.Command) (applier.Result, error) {
+	return p.ProposeAfter(ctx, 0, cmd)
+}
+
+// ProposeAfter is Propose for an order that is based on the state at a log index. The leader refuses it with ErrSuperseded if the
+// log has a later command that supersedes it; see applier.Command.Supersedes. A leader of an older version makes no comparison.
+func (p *Proposer) ProposeAfter(ctx context.Context, basis uint64, cmd applier.Command) (applier.Result, error) {
 	data, err := applier.EncodeCommand(cmd)
 	if err != nil {
 		return applier.Result{}, errors.Wrap(ErrNotApplied, err.Error())
@@ -60,9 +69,9 @@
 				break
 			}
 			tried[name] = true
-			result, maybeApplied, err := p.attempt(ctx, name, data)
-			if err == nil {
-				return result, nil
+			result, maybeApplied, err := p.attempt(ctx, name, basis, data)
+			if err == nil || errors.Is(err, ErrSuperseded) {
+				return result, err
 			}
 			unconfirmed = unconfirmed || maybeApplied
 			lastErr = err
@@ -97,7 +106,7 @@
 
 // attempt proposes the encoded command to one host. If it fails, maybeApplied says whether the command may have been
 // applied all the same.
-func (p *Proposer) attempt(ctx context.Context, name string, data []byte) (result applier.Result, maybeApplied bool, err error) {
+func (p *Proposer) attempt(ctx context.Context, name string, basis uint64, data []byte) (result applier.Result, maybeApplied bool, err error) {
 	addr, ok := p.Hosts()[name]
 	if !ok || !addr.IsValid() {
 		return result, false, errors.Errorf("address of %s is not known", name)
@@ -109,6 +118,7 @@
 	err = p.Messenger.Call(ctx, addr, "State.Propose", &controller.ProposeArgs{
 		Command: data,
 		Timeout: time.Until(deadline),
+		Basis:   basis,
 	}, &reply)
 	switch {
 	case errors.Is(err, messenger.ErrUnreachable), errors.Is(err, messenger.ErrAuthentication):
@@ -119,6 +129,9 @@
 	case reply.NotLeader:
 		p.updateLeader(name, reply.Leader)
 		return result, false, errors.Errorf("%s: %s", name, reply.Reason)
+	case reply.Superseded:
+		p.updateLeader("", name)
+		return result, false, errors.Wrap(ErrSuperseded, reply.Reason)
 	case reply.Unknown:
 		p.updateLeader(name, "")
 		return result, true, errors.Errorf("%s: %s", name, reply.Reason)
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -37,6 +37,15 @@
 	return l.entries[index-l.offset : to-l.offset]
 }
 
+// EntriesAfter returns the entries of the log after index, whether they are committed or not. It returns false if some of them
+// were replaced by a snapshot.
+func (r *Replicator) EntriesAfter(index uint64) ([]journaler.Entry, bool) {
+	if index < r.log.offset {
+		return nil, false
+	}
+	return r.log.slice(index, r.log.last()), true
+}
+
 // batch returns the entries after index, limited to maxEntries and to maxBytes of data, but at least one if there is
 // one.
 func (l *entryLog) batch(index uint64, maxEntries, maxBytes int) []journaler.Entry {
