Order the departure of a target after newer announcements

Callers would see a sound target drained: DELETE /instances/ID carries no birth, so a departure that a frozen control host carries out late drains the next process under that ID. And a host with an older state, in which the process before was draining, acknowledged the departure of the next one without effect (DRAIN).

Cause: as with the orders of operators, nothing orders a departure after newer entries. Evidence: seen by the review in passing, by reading; no run of callers shows it.

Test, before: committer.TestDepartureIsOrderedLikeAnOrder, no order is proposed.

Change: a departure is proposed with the index of the state that the host knew while its sender waits, and always.

It works since the announcement of the next process is an entry after that index, or the process that sent the departure has ended and its connection with it.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -124,17 +124,17 @@
 	return netip.AddrPort{}
 }
 
-// Drain commits that a target is draining and will stop soon.
+// Drain commits that a target is draining and will stop soon. The order does not tell which process under the ID has sent it, so
+// it is proposed like an order of an operator, and always: by an older state, the process before may be draining.
 func (c *Committer) Drain(ctx context.Context, id string) error {
-	if t, ok := c.State.State().Registry.Target(id); ok && t.Draining {
-		return nil
-	}
-	if err := c.propose(ctx, registrar.Change{
-		Drain: &registrar.DrainMsg{
-			ID: id,
+	if _, err := c.proposeOrder(ctx, applier.Command{
+		Registry: &registrar.Change{
+			Drain: &registrar.DrainMsg{
+				ID: id,
+			},
 		},
 	}); err != nil {
-		return err
+		return errors.Wrap(err, "commit")
 	}
 	c.Log.Info("target leaves", "target", id)
 	return nil
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -180,3 +180,27 @@
 	c.Assert(k.SetOut(context.Background(), "dc", false), qt.IsNil)
 	c.Assert(p.bases, qt.DeepEquals, []uint64{7, 9})
 }
+
+// Guards against a departure that drains the next process under the same ID, or that is acknowledged without effect because
+// the process before was draining in an older state.
+func TestDepartureIsOrderedLikeAnOrder(t *testing.T) {
+	c := qt.New(t)
+	tg := announcement()
+	tg.Draining = true
+	st, p := &fakeState{}, &fakeProposer{}
+	st.set(&applier.State{
+		Index:    7,
+		Registry: registrar.Registry{}.Announce(1, tg),
+	}, time.Hour)
+	k := Committer{
+		State:    st,
+		Proposer: p,
+		Log:      log.New(io.Discard),
+	}
+	c.Assert(k.Drain(context.Background(), tg.ID), qt.IsNil)
+	c.Assert(p.bases, qt.DeepEquals, []uint64{7})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(senderCheckTime/5, cancel)
+	c.Assert(k.Drain(ctx, tg.ID), qt.IsNotNil)
+	c.Assert(p.bases, qt.HasLen, 1)
+}
