Bound the memory of all answers together

Cause: each header was bounded by 1 MB, with no bound on their sum, and parsing short lines takes 26 bytes for each. The sum of bodies was bounded, but one faulty target could take all of it; answers of other hosts had no bound; bytes after an answer stayed on idle connections.

The checks of TestAnswerWithoutEndIsGivenUp are the same, by the new names.

Change: reserver.Reserver bounds bytes, as a part of another bound if wanted. The sender reserves what it reads of an answer, for each target a third of the whole at most, until the answer was written to its caller. A header has 64 KB at most. Bodies are passed to the sender in parts, for uploads.

It works since nothing is read without a reservation, except 8 KB of a header and bodies up to 16 KB on a bounded number of connections.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -44,7 +44,8 @@
 	Path   string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the parts of the body, which follow each other.
+	Body [][]byte
 	// Arrived is when the first byte was read.
 	Arrived time.Time
 }
@@ -56,6 +57,8 @@
 	Body   []byte
 	// Abort makes the acceptor close the connection without an answer.
 	Abort bool
+	// Release is called once when the answer was written or dropped; it may be nil.
+	Release func()
 }
 
 // Handler answers requests. Handle is called concurrently; its context is cancelled when the caller has disconnected.
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,7 +26,7 @@
 func echo(_ context.Context, r *Request) *Answer {
 	return &Answer{
 		Status: http.StatusOK,
-		Body:   []byte(r.Path + " " + string(r.Body)),
+		Body:   []byte(r.Path + " " + string(bytes.Join(r.Body, nil))),
 	}
 }
 
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -145,7 +145,7 @@
 		Path:    req.URL.Path,
 		Host:    req.Host,
 		Header:  req.Header,
-		Body:    body,
+		Body:    [][]byte{body},
 		Arrived: arrived,
 	}, nil
 }
@@ -200,6 +200,9 @@
 	defer close(written)
 	defer func() { <-c.sem }()
 	a := c.acceptor.Handler.Handle(c.ctx, r)
+	if a.Release != nil {
+		defer a.Release()
+	}
 	<-previous
 	c.mu.Lock()
 	if c.ending || c.ctx.Err() != nil {
--- a/director/entry.go
+++ b/director/entry.go
@@ -76,6 +76,7 @@
 	acceptor *acceptor.Acceptor
 	ready    *http.Server
 	links    *entryLinks
+	memory   *entryMemory
 
 	mu      sync.Mutex
 	view    *viewer.View
@@ -105,12 +106,13 @@
 				Decode: d.decode,
 			},
 		},
-		sender: sender.New(d.dialTarget),
+		memory: newEntryMemory(s.Direct.Memory),
 		selector: &selector.Selector{
 			DataCentre: s.DataCentre,
 		},
 		changed: make(chan struct{}),
 	}
+	e.sender = sender.New(d.dialTarget, sender.WithMemory(&e.memory.answers))
 	e.limiter = limiter.New(limiter.Options{
 		View: func() *viewer.View {
 			v, _ := e.currentView()
--- a/director/links.go
+++ b/director/links.go
@@ -52,7 +52,7 @@
 	s := e.d.settings
 	l := &entryLinks{
 		entry:  e,
-		sender: sender.New(nil),
+		sender: sender.New(nil, sender.WithMemory(&e.memory.answers)),
 	}
 	sign := signer.New(s.Keys.System)
 	l.relayer = relayer.New(relayer.Options{
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -265,7 +265,7 @@
 		Host:        j.Host,
 		Header:      j.Header,
 		Fields:      fields,
-		Body:        j.Body,
+		Body:        [][]byte{j.Body},
 		Identity:    j.Identity,
 		Deadline:    j.Deadline,
 		Connections: j.Service.Limits.TargetConnections,
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -83,6 +83,8 @@
 		Status: resp.Status,
 		Header: stripper.EndToEnd(resp.Header, func(string) bool { return false }),
 		Body:   body,
+
+		Release: x.passOn(),
 	}, false
 }
 
@@ -135,20 +137,39 @@
 	if fault != nil {
 		return nil, nil, fault
 	}
-	body, err := x.readAll(resp)
-	closeErr := resp.Close()
-	if err != nil {
-		f, ok := err.(*sender.Fault)
-		if !ok {
-			f = sender.NewFault(sender.ReasonCut, http.StatusBadGateway, err)
-			f.MayHaveRun = true
-		}
-		return nil, nil, f
+	body, fault := resp.ReadAll()
+	if fault == nil {
+		x.keep(resp)
+	}
+	if err := resp.Close(); err != nil {
+		x.lastErr = err.Error()
 	}
-	if closeErr != nil {
-		x.lastErr = closeErr.Error()
+	return resp, body, fault
+}
+
+// keep holds the memory of an answer, instead of that of the answer before, until it is released or passed on.
+func (x *exchange) keep(resp *sender.Response) {
+	x.release()
+	resp.Keep()
+	x.resp = resp
+}
+
+// passOn returns the function that frees the memory of the last answer once its caller has it, nil if none is reserved.
+func (x *exchange) passOn() func() {
+	resp := x.resp
+	x.resp = nil
+	if resp.Reserved() == 0 {
+		return nil
+	}
+	return resp.Release
+}
+
+// release frees the memory that is reserved for the last answer.
+func (x *exchange) release() {
+	if x.resp != nil {
+		x.resp.Release()
+		x.resp = nil
 	}
-	return resp, body, nil
 }
 
 // maxConnections returns the number of connections that this host may open to one target, so that all hosts together
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/sender"
 )
 
 // Guards against a faulty target that sends without end, in the header or in the body of an answer. The caller must get
@@ -91,6 +93,7 @@
 			}()
 			b.announce("t0", "desk", netip.MustParseAddrPort(ln.Addr().String()))
 			a := b.send(context.Background(), http.MethodPost, "/order/1")
+			c.Assert(a.Release == nil, qt.IsTrue)
 			c.Assert(a.Status >= 502, qt.IsTrue, qt.Commentf("%d", a.Status))
 			c.Assert(a.Status, qt.Not(qt.Equals), 503)
 			select {
@@ -100,8 +103,21 @@
 			}
 			// The target can also write what fits into the buffers of both sockets.
 			const socketBuffers = 16 << 20
-			c.Assert(sent.Load() < maxAnswerBytes+socketBuffers, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
-			c.Assert(b.f.bufferedBytes.Load(), qt.Equals, int64(0))
+			c.Assert(sent.Load() < sender.MaxBody+socketBuffers, qt.IsTrue, qt.Commentf("%d bytes", sent.Load()))
+			c.Assert(b.memory.Held(), qt.Equals, int64(0))
 		})
 	}
 }
+
+// Guards against the memory of a long answer that is free again before its caller has it, or never.
+func TestLongAnswerIsReservedUntilItIsWritten(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c)
+	b.putTable()
+	b.target("a", "desk", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) })
+	a := b.send(context.Background(), http.MethodPost, "/order/1")
+	c.Assert(a.Body, qt.HasLen, 1<<20)
+	c.Assert(b.memory.Held() >= 1<<20, qt.IsTrue)
+	a.Release()
+	c.Assert(b.memory.Held(), qt.Equals, int64(0))
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -8,6 +8,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/stripper"
 )
 
@@ -92,8 +93,8 @@
 	// fingerprint is the hash of the request, zero until it is computed.
 	fingerprint uint64
 
-	// bufferedBytes is the memory that is reserved for answers.
-	bufferedBytes int64
+	// resp is the last answer of a target whose memory is reserved, nil if there is none.
+	resp *sender.Response
 
 	// tried lists the incarnations of targets to which the request was sent, in the order of their first attempts.
 	tried []registrar.Incarnation
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -20,6 +20,7 @@
 	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/reserver"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/timekeeper"
@@ -36,6 +37,8 @@
 	// issuer issues the tokens of the control leader, and noLeader says that there is none.
 	issuer   issuer.Issuer
 	noLeader atomic.Bool
+	// memory bounds the answers of targets.
+	memory reserver.Reserver
 	// stop is the stop in progress, nil if there is none.
 	stop atomic.Pointer[Stop]
 
@@ -48,6 +51,9 @@
 	b := fixture{
 		c:       c,
 		changed: make(chan struct{}),
+		memory: reserver.Reserver{
+			Limit: 32 << 20,
+		},
 	}
 	split := func(service string) []matcher.Part {
 		return []matcher.Part{{
@@ -99,7 +105,7 @@
 	b.f = New(Options{
 		View:     b.current,
 		Codec:    testCodec{},
-		Sender:   sender.New(nil),
+		Sender:   sender.New(nil, sender.WithMemory(&b.memory)),
 		Selector: &selector.Selector{},
 		Limiter: limiter.New(limiter.Options{
 			View: func() *viewer.View {
@@ -217,7 +223,7 @@
 		Path:    path,
 		Host:    "shop.example",
 		Header:  h,
-		Body:    []byte("one board"),
+		Body:    [][]byte{[]byte("one board")},
 		Arrived: time.Now(),
 	})
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -98,8 +98,6 @@
 	retryBudgets  sync.Map // service to *retrier.Budget
 	serviceTimes  sync.Map // route to *serviceTimeEstimate
 	splits        sync.Map // route to *weightedRoundRobin
-	// bufferedBytes is the memory that is reserved for the answers being read.
-	bufferedBytes atomic.Int64
 }
 
 // serviceTimeEstimate is the expected service time of the requests of one route, an exponentially weighted moving
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -62,7 +62,9 @@
 		_, _ = h.WriteString(s)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(r.Body)
+	for _, part := range r.Body {
+		_, _ = h.Write(part)
+	}
 	return h.Sum64()
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -335,21 +334,23 @@
 	if fault != nil {
 		return nil, false, fault
 	}
-	body, err := io.ReadAll(resp)
+	var release func()
+	taken = resp.Header.Get(signer.HeaderLinks) == ""
+	body, fault := resp.ReadAll()
+	if fault == nil && taken && resp.Reserved() > 0 {
+		resp.Keep()
+		release = resp.Release
+	}
 	_ = resp.Close()
-	if err != nil {
-		if f, ok := err.(*sender.Fault); ok {
-			return nil, false, f
-		}
-		f := sender.NewFault(sender.ReasonCut, http.StatusBadGateway, err)
-		f.MayHaveRun = true
-		return nil, false, f
+	if fault != nil {
+		return nil, false, fault
 	}
 	return &acceptor.Answer{
-		Status: resp.Status,
-		Header: stripper.EndToEnd(resp.Header, ownHeader),
-		Body:   body,
-	}, resp.Header.Get(signer.HeaderLinks) == "", nil
+		Status:  resp.Status,
+		Header:  stripper.EndToEnd(resp.Header, ownHeader),
+		Body:    body,
+		Release: release,
+	}, taken, nil
 }
 
 // ownHeader reports whether a header is one of the system itself.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -47,7 +48,7 @@
 				return &acceptor.Answer{
 					Status: http.StatusCreated,
 					Header: http.Header{
-						"Seal": {r.Header.Get("Request-Id") + r.URI + string(r.Body)},
+						"Seal": {r.Header.Get("Request-Id") + r.URI + string(bytes.Join(r.Body, nil))},
 					},
 					Body: []byte("ok"),
 				}
@@ -99,7 +100,7 @@
 			"Connection":            {"X-Hop"},
 			"X-Hop":                 {"1"},
 		},
-		Body:    []byte("one board"),
+		Body:    [][]byte{[]byte("one board")},
 		Arrived: time.Now().Add(-200 * time.Millisecond),
 	}
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -37,7 +37,7 @@
 	epoch := strconv.FormatUint(uint64(route.Epoch), 10)
 	deadline := strconv.FormatInt(max(1, (time.Until(x.deadline)-peerMargin).Milliseconds()), 10)
 	hops := strconv.Itoa(x.hops + 1)
-	signature := x.router.signer.Sign(x.body, x.service.Name, x.key, route.Target, epoch, x.identity, deadline, hops,
+	signature := x.router.signer.Sign([][]byte{x.body}, x.service.Name, x.key, route.Target, epoch, x.identity, deadline, hops,
 		x.callerIdentity, x.method, x.uri)
 	fields := []sender.Field{
 		{Name: "Bramleyline-Service", Value: x.service.Name},
@@ -60,7 +60,7 @@
 		Host:        x.hostHeader,
 		Header:      x.header,
 		Fields:      fields,
-		Body:        x.body,
+		Body:        [][]byte{x.body},
 		Identity:    x.identity,
 		Deadline:    x.deadline,
 		Connections: maxPeerConnections,
@@ -136,7 +136,7 @@
 	if f := x.readBody(req); f != nil {
 		return f
 	}
-	if !x.router.signer.Verify(signature, x.body, x.service.Name, x.key, x.chosenTarget, epoch, x.identity, deadline, hops,
+	if !x.router.signer.Verify(signature, [][]byte{x.body}, x.service.Name, x.key, x.chosenTarget, epoch, x.identity, deadline, hops,
 		x.callerIdentity, x.method, x.uri) {
 		return refusal(http.StatusUnauthorized, "unauthorized", errors.New("forwarded request has no valid signature"))
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/reporter"
+	"bramleyline.example/bramleyline/reserver"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/signer"
 )
@@ -74,7 +75,9 @@
 	if opts.Seed == 0 {
 		opts.Seed = rand.Uint64()
 	}
-	s := sender.New(opts.Dial)
+	s := sender.New(opts.Dial, sender.WithMemory(&reserver.Reserver{
+		Limit: maxHeldHeaderBytes,
+	}))
 	r := Router{
 		opts:           opts,
 		identityPrefix: opts.Host + "-" + strconv.FormatUint(opts.Seed, 36) + "-",
--- a/router/service.go
+++ b/router/service.go
@@ -58,6 +58,8 @@
 	// maxHeldBodyBytes bounds the total size of the request bodies that a host holds in memory: each body is read whole
 	// before anything is sent.
 	maxHeldBodyBytes = 256 << 20
+	// maxHeldHeaderBytes bounds the memory for long headers of answers. The bodies of answers are passed on as they are read.
+	maxHeldHeaderBytes = 64 << 20
 )
 
 // admission bounds the requests and the request bodies that a host holds, and divides the requests among the services
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/reserver"
 )
 
 // maxInlineBody is the size, in bytes, of the largest body that is appended to the header and written in the same call.
@@ -36,9 +38,13 @@
 		_ = conn.SetDeadline(aLongTimeAgo)
 	})
 	c.written, c.identity = 0, r.Identity
-	head, body := appendHead(c.buf[:0], r), r.Body
-	if len(body) <= maxInlineBody {
-		head, body = append(head, body...), nil
+	size := r.bodySize()
+	head, body := appendHead(c.buf[:0], r, size), r.Body
+	if size <= maxInlineBody {
+		for _, part := range body {
+			head = append(head, part...)
+		}
+		body = nil
 	}
 	c.buf = head
 	if r.Check != nil {
@@ -72,7 +78,7 @@
 	var err error
 	// The limit covers the headers of informational (1xx) and final answers together, because a target may send any
 	// number of informational ones.
-	c.headerRemaining = maxAnswerHeader
+	c.beginHeader()
 	for {
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		if err != nil {
@@ -82,12 +88,13 @@
 			break
 		}
 	}
-	resetHeaderLimit(c)
+	reserved := c.endHeader()
 	if keepAlive := resp.Header.Get("Keep-Alive"); keepAlive != "" {
 		c.parseKeepAlive(keepAlive)
 	}
 	echo := resp.Header.Get(r.echoHeader())
 	if echo != r.Identity && (echo != "" || !r.EchoOptional) {
+		c.pool.memory.Release(reserved)
 		f := a.fault(errors.Errorf("answer belongs to request %q", echo), "crossed answer")
 		f.Reason, f.Status, f.Severed = ReasonCrossed, http.StatusBadGateway, false
 		return nil, f
@@ -95,6 +102,7 @@
 	// An answer without a length ends with its connection, and is complete only if the connection was not reset. Not
 	// every target closes its connections so that the two cases differ.
 	if resp.StatusCode == http.StatusSwitchingProtocols || !r.Undelimited && !delimited(resp, r.Method) {
+		c.pool.memory.Release(reserved)
 		f := a.fault(errors.New("answer has no length"), "malformed answer")
 		f.Reason = ReasonMalformed
 		return nil, f
@@ -107,6 +115,8 @@
 		reusable: !resp.Close,
 		Echoed:   echo == r.Identity,
 		attempt:  a,
+		memory:   &c.pool.memory,
+		reserved: reserved,
 	}, nil
 }
 
@@ -119,6 +129,7 @@
 // fault closes the connection and returns the Fault for err.
 func (a *attempt) fault(err error, message string) *Fault {
 	ctxErr, readErr := a.ctx.Err(), a.conn.readErr
+	a.conn.pool.memory.Release(a.conn.endHeader())
 	a.end(false)
 	f := Fault{
 		Reason:     ReasonCut,
@@ -129,6 +140,8 @@
 	switch {
 	case errors.Is(ctxErr, context.Canceled):
 		f.Reason = ReasonCancelled
+	case errors.Is(err, errNoMemory) || errors.Is(readErr, errNoMemory):
+		f.Reason = ReasonMemory
 	case ctxErr != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(readErr, os.ErrDeadlineExceeded):
 		f.Reason, f.Status = ReasonDeadline, http.StatusGatewayTimeout
 	case severed(err) || severed(readErr):
@@ -159,7 +172,7 @@
 	c.pool.release(c)
 }
 
-func appendHead(b []byte, r *Request) []byte {
+func appendHead(b []byte, r *Request, bodySize int) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
@@ -177,9 +190,9 @@
 	for _, f := range r.Fields {
 		b = appendField(b, f.Name, f.Value)
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+	if bodySize > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = strconv.AppendInt(b, int64(bodySize), 10)
 		b = append(b, '\r', '\n')
 	}
 	return append(b, '\r', '\n')
@@ -209,6 +222,13 @@
 	fault   *Fault
 	attempt *attempt
 	ended   bool
+	// memory bounds what is held of the answers of the target, and reserved is what is held of this one. kept is true after
+	// Keep.
+	memory   *reserver.Reserver
+	reserved int64
+	kept     bool
+	// end is the buffer for the read that finds the end of the body.
+	end [1]byte
 	// OnEnd is called once, at Close or at the first error of Read. whole is true if the body was read to its end; f is
 	// that error, or nil. OnEnd may be nil.
 	OnEnd func(whole bool, f *Fault)
@@ -225,18 +245,26 @@
 		return n, err
 	}
 	if err != nil {
-		f := r.attempt.fault(err, "answer was cut")
-		r.fault, r.ended = f, true
-		if r.OnEnd != nil {
-			r.OnEnd(false, f)
-		}
-		return n, f
+		return n, r.fail(r.attempt.fault(err, "answer was cut"))
 	}
 	return n, nil
 }
 
-// Close ends the response. The connection is reused only if the body was read to its end.
+// fail ends the response with f, for which the connection was closed.
+func (r *Response) fail(f *Fault) *Fault {
+	r.fault, r.ended = f, true
+	if r.OnEnd != nil {
+		r.OnEnd(false, f)
+	}
+	return f
+}
+
+// Close ends the response. The connection is reused only if the body was read to its end. Memory that is reserved for the answer
+// is released, except after Keep.
 func (r *Response) Close() error {
+	if !r.kept {
+		r.Release()
+	}
 	if r.ended {
 		return nil
 	}
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -14,10 +14,19 @@
 	"github.com/pkg/errors"
 )
 
-// maxAnswerHeader is the largest header of an answer, in bytes. http.ReadResponse sets no limit of its own.
-const maxAnswerHeader = 1 << 20
+const (
+	// maxAnswerHeader is the largest header of an answer, in bytes. http.ReadResponse sets no limit of its own.
+	maxAnswerHeader = 64 << 10
+	// freeHeader is the size of a header, in bytes, up to which nothing is reserved for it. headerFactor is the number of
+	// bytes that parsing allocates for each byte beyond: 26 were measured for header lines of three bytes.
+	freeHeader   = 8 << 10
+	headerFactor = 28
+)
 
-var errHeaderTooLong = errors.New("header of the answer is too long")
+var (
+	errHeaderTooLong = errors.New("header of the answer is too long")
+	errNoMemory      = errors.New("no memory is left for the answer")
+)
 
 // conn is one connection. It counts the bytes written and limits the bytes read for the header of an answer.
 type conn struct {
@@ -31,6 +40,9 @@
 	// headerRemaining is how many more bytes may be read. Outside of a header it starts at math.MaxInt64, that is,
 	// unlimited.
 	headerRemaining int64
+	// headerRead is the number of bytes read for the header so far, and headerReserved the memory that is reserved for them.
+	headerRead     int64
+	headerReserved int64
 	// written is the number of bytes of the current request that the kernel accepted.
 	written int64
 	// readErr is the last error of Read. The HTTP parser hides it: it reports a header that ends early as malformed.
@@ -65,21 +77,53 @@
 		return 0, errHeaderTooLong
 	}
 	n, err := c.Conn.Read(b)
-	c.headerRemaining -= int64(n)
+	if c.headerRemaining != math.MaxInt64 {
+		c.headerRemaining -= int64(n)
+		if !c.reserveHeader(int64(n)) {
+			err = errNoMemory
+		}
+	}
 	if err != nil {
 		c.readErr = err
 	}
 	return n, err
 }
 
+// beginHeader limits what is read from now on to the size of a header, until endHeader.
+func (c *conn) beginHeader() {
+	c.headerRemaining, c.headerRead = maxAnswerHeader, 0
+}
+
+// endHeader lifts the limit, and returns the memory that is reserved for the header.
+func (c *conn) endHeader() (reserved int64) {
+	reserved, c.headerReserved = c.headerReserved, 0
+	c.headerRemaining = math.MaxInt64
+	return reserved
+}
+
+// reserveHeader reserves memory for n more bytes of a header. It returns false if there is none.
+func (c *conn) reserveHeader(n int64) bool {
+	before := max(0, c.headerRead-freeHeader)
+	c.headerRead += n
+	more := headerFactor * (max(0, c.headerRead-freeHeader) - before)
+	if more == 0 {
+		return true
+	}
+	if !c.pool.memory.Reserve(more) {
+		return false
+	}
+	c.headerReserved += more
+	return true
+}
+
 // send writes the request and counts the bytes that the kernel accepted.
-func (c *conn) send(head, body []byte) error {
+func (c *conn) send(head []byte, body [][]byte) error {
 	if len(body) == 0 {
 		n, err := c.Write(head)
 		c.written += int64(n)
 		return err
 	}
-	buffers := net.Buffers{head, body}
+	buffers := append(net.Buffers{head}, body...)
 	n, err := buffers.WriteTo(c.Conn)
 	c.written += n
 	return err
--- a/sender/fault.go
+++ b/sender/fault.go
@@ -16,6 +16,7 @@
 	ReasonCut         = "cut"         // the connection ended before the answer was complete
 	ReasonMalformed   = "malformed"   // the answer is invalid, has too long a header or has no length
 	ReasonCrossed     = "crossed"     // the answer belongs to another request
+	ReasonMemory      = "memory"      // the memory for answers is used up
 )
 
 // ErrClosed is the cause of the Fault that a closed Sender returns.
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bramleyline.example/bramleyline/reserver"
 )
 
 // maxIdleTime is how long an unused connection is kept. It is shorter than the usual idle timeout of servers, 60 s.
@@ -16,6 +18,8 @@
 // idle connections together never exceed the limit, unless the limit was lowered.
 type pool struct {
 	addr netip.AddrPort
+	// memory bounds the bytes that are held of answers from this address.
+	memory reserver.Reserver
 
 	mu sync.Mutex
 	// idle holds the unused connections, the most recently used last.
@@ -172,11 +176,19 @@
 	return expired
 }
 
-// trim closes the connections that were idle for longer than maxIdleTime. If the pool is then unused, trim closes it
+// trim closes the connections that were idle for longer than maxIdleTime, and those that the target has closed or on which it
+// has sent bytes that belong to no request: those would stay in the buffers of the operating system. If the pool is then unused, trim closes it
 // too; it reports whether the pool is closed.
 func (p *pool) trim(now time.Time) bool {
 	p.mu.Lock()
 	expired := p.expire(now)
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		alive := c.alive()
+		if !alive {
+			expired = append(expired, c)
+		}
+		return !alive
+	})
 	p.closed = p.closed || p.inUse == 0 && len(p.idle) == 0 && len(p.waiters) == 0
 	closed := p.closed
 	p.mu.Unlock()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,11 +15,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/reserver"
 )
 
 // dialTimeout bounds the opening of a connection, which costs about 1 ms besides the network latency of 1.5 ms one way.
 const dialTimeout = 500 * time.Millisecond
 
+// targetPart is the number of targets that together may use up the memory for answers.
+const targetPart = 3
+
 // Field is a header field that is written in addition to Request.Header.
 type Field struct {
 	Name  string
@@ -37,7 +41,8 @@
 	// Header is written as it is, apart from Content-Length and Host; the caller of Send must remove hop-by-hop headers.
 	Header http.Header
 	Fields []Field
-	Body   []byte
+	// Body holds the parts of the body, which are sent one after the other.
+	Body [][]byte
 	// Identity is the value that the answer must repeat in the header EchoHeader, by default Bramleyline-Request.
 	Identity   string
 	EchoHeader string
@@ -69,6 +74,15 @@
 
 var errConnectionRejected = errors.New("target closed a new connection")
 
+// bodySize returns the number of bytes of the body.
+func (r *Request) bodySize() int {
+	n := 0
+	for _, part := range r.Body {
+		n += len(part)
+	}
+	return n
+}
+
 // defaultEchoHeader is the header in which an answer repeats the identity of its request.
 const defaultEchoHeader = "Bramleyline-Request"
 
@@ -82,6 +96,7 @@
 // Sender makes attempts over pooled connections. It must be created with New.
 type Sender struct {
 	dial      DialFunc
+	memory    *reserver.Reserver
 	pools     sync.Map // netip.AddrPort to *pool
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -90,24 +105,44 @@
 // DialFunc opens a connection, as net.Dialer does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
+// Option changes a Sender at its construction.
+type Option func(*Sender)
+
+// WithMemory bounds the bytes that are held of all answers together. A single target may hold a part of them only, so that the
+// answers of others can be read while a faulty one sends without end. The default is no bound.
+func WithMemory(m *reserver.Reserver) Option {
+	return func(s *Sender) { s.memory = m }
+}
+
 // New returns a Sender without connections. If dial is nil, a zero net.Dialer is used.
-func New(dial DialFunc) *Sender {
+func New(dial DialFunc, opts ...Option) *Sender {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &Sender{
+	s := Sender{
 		dial:   dial,
 		closed: make(chan struct{}),
 	}
+	for _, o := range opts {
+		o(&s)
+	}
+	return &s
 }
 
 func (s *Sender) pool(addr netip.AddrPort) *pool {
 	if p, ok := s.pools.Load(addr); ok {
 		return p.(*pool)
 	}
-	p, _ := s.pools.LoadOrStore(addr, &pool{
+	fresh := &pool{
 		addr: addr,
-	})
+		memory: reserver.Reserver{
+			Parent: s.memory,
+		},
+	}
+	if s.memory != nil && s.memory.Limit > 0 {
+		fresh.memory.Limit = max(MaxBody+1, s.memory.Limit/targetPart)
+	}
+	p, _ := s.pools.LoadOrStore(addr, fresh)
 	return p.(*pool)
 }
 
@@ -200,8 +235,3 @@
 		return true
 	})
 }
-
-// resetHeaderLimit lifts the limit on what is read, after the header of an answer.
-func resetHeaderLimit(c *conn) {
-	c.headerRemaining = math.MaxInt64
-}
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -52,7 +52,7 @@
 		URI:         "/x",
 		Host:        "x",
 		Fields:      []Field{{Name: "Bramleyline-Request", Value: "a-1"}},
-		Body:        []byte(body),
+		Body:        [][]byte{[]byte(body)},
 		Identity:    "a-1",
 		Deadline:    time.Now().Add(10 * time.Second),
 		Connections: 2,
--- a/signer/signer.go
+++ b/signer/signer.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// Sign returns the signature of a body and the other parts of a request in hexadecimal.
-func (s *Signer) Sign(body []byte, parts ...string) string {
+// Sign returns the signature of a body, given in parts, and the other parts of a request in hexadecimal.
+func (s *Signer) Sign(body [][]byte, parts ...string) string {
 	h := s.pool.Get().(hash.Hash)
 	defer s.pool.Put(h)
 	h.Reset()
@@ -40,11 +40,13 @@
 		scratch = append(scratch, p...)
 	}
 	h.Write(scratch)
-	h.Write(body)
+	for _, part := range body {
+		h.Write(part)
+	}
 	return hex.EncodeToString(h.Sum(buf[:0]))
 }
 
 // Verify reports whether signature is the signature of body and parts.
-func (s *Signer) Verify(signature string, body []byte, parts ...string) bool {
+func (s *Signer) Verify(signature string, body [][]byte, parts ...string) bool {
 	return hmac.Equal([]byte(signature), []byte(s.Sign(body, parts...)))
 }
