Bound the memory of all uploads together

Cause: the acceptor held each body whole, allocated when it was announced, and nothing bounded their sum.

Change: a body is kept in parts of 64 KB, for which memory is reserved when they arrive, up to half of the memory limit of the process. At the bound one upload gets 503 with Retry-After, at once if half of it does not fit.

It works since no more is held than is reserved, and a refused upload gives its memory back.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/reserver"
 )
 
 const (
@@ -48,6 +49,9 @@
 	Body [][]byte
 	// Arrived is when the first byte was read.
 	Arrived time.Time
+
+	// reserved is the memory that is reserved for the body.
+	reserved int64
 }
 
 // Answer is a complete answer to a request.
@@ -71,6 +75,8 @@
 	Handler Handler
 	// Limits returns the limits in force; a limit of zero, or a nil function, means the default.
 	Limits func() matcher.Limits
+	// Memory bounds the bodies of all requests together; nil means no bound. A request whose body does not fit is refused.
+	Memory *reserver.Reserver
 
 	ln net.Listener
 	// draining is true if connections end after their last pending answer.
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -127,7 +129,7 @@
 		}
 	}
 	_ = c.raw.SetReadDeadline(time.Time{})
-	body, err := readBody(req, limits.BodyBytes)
+	body, reserved, err := c.readBody(req, limits.BodyBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -136,6 +138,7 @@
 	c.parsing = false
 	if c.ending {
 		// A request after the last answer is dropped, as if it had not been read.
+		c.acceptor.Memory.Release(reserved)
 		return nil, net.ErrClosed
 	}
 	c.pending++
@@ -145,8 +148,10 @@
 		Path:    req.URL.Path,
 		Host:    req.Host,
 		Header:  req.Header,
-		Body:    [][]byte{body},
+		Body:    body,
 		Arrived: arrived,
+
+		reserved: reserved,
 	}, nil
 }
 
@@ -176,29 +181,11 @@
 	return nil
 }
 
-func readBody(req *http.Request, limit int64) ([]byte, error) {
-	if req.ContentLength > limit {
-		return nil, errBodyTooLong
-	}
-	if req.ContentLength == 0 || req.Body == nil {
-		return nil, nil
-	}
-	if req.ContentLength > 0 {
-		body := make([]byte, req.ContentLength)
-		_, err := io.ReadFull(req.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errBodyTooLong
-	}
-	return body, err
-}
-
 // answer runs one request, writes its answer once previous is closed, and closes written.
 func (c *conn) answer(r *Request, previous <-chan struct{}, written chan<- struct{}) {
 	defer close(written)
 	defer func() { <-c.sem }()
+	defer c.acceptor.Memory.Release(r.reserved)
 	a := c.acceptor.Handler.Handle(c.ctx, r)
 	if a.Release != nil {
 		defer a.Release()
@@ -273,12 +260,18 @@
 		return
 	}
 	status := 0
+	var header http.Header
 	var netErr net.Error
 	switch {
 	case errors.Is(err, errHeaderTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLong):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		status = http.StatusServiceUnavailable
+		header = http.Header{
+			"Retry-After": {strconv.FormatFloat((retryAfterNoMemory + rand.N(retryAfterNoMemory)).Seconds(), 'f', 2, 64)},
+		}
 	case errors.As(err, &netErr) && netErr.Timeout():
 		if parsing {
 			status = http.StatusRequestTimeout
@@ -295,6 +288,7 @@
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := c.raw.Write(appendAnswer(nil, &Answer{
 		Status: status,
+		Header: header,
 	}, http.MethodGet, true)); err != nil {
 		counters.Add("failedWrites", 1)
 		return
--- a/director/entry.go
+++ b/director/entry.go
@@ -153,6 +153,7 @@
 	e.acceptor = &acceptor.Acceptor{
 		Handler: f,
 		Limits:  e.currentLimits,
+		Memory:  &e.memory.bodies,
 	}
 	e.links.handler = f.HandleRelayed
 	caller, err := net.Listen("tcp", s.Listen.Caller.String())
--- a/director/links.go
+++ b/director/links.go
@@ -77,6 +77,7 @@
 			},
 		},
 		Limits: l.limits,
+		Memory: &e.memory.bodies,
 	}
 	return l
 }
