--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -283,7 +283,9 @@
 	if status == 0 {
 		return
 	}
-	counters.Add("badRequests", 1)
+	if status != http.StatusServiceUnavailable {
+		counters.Add("badRequests", 1)
+	}
 	<-previous
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := c.raw.Write(appendAnswer(nil, &Answer{
