Sync the log at the start before it counts as saved

Cause: journaler.Open took what a killed process had written, and not synced, for durable. The host acknowledged it and went on in a new segment; a loss of power then left a gap in the middle of the log. A renamed hard state could be undone in the same way.

Test, before: journaler.TestWhatAKilledProcessWroteSurvivesALossOfPower, "kill 2: after the loss of power: ... record at offset 0: corrupt file". After: it passes.

Change: Open syncs all segments and the folder before it reads them.

It works since only synced bytes are read and acknowledged.

--- a/controller/fault_test.go
+++ b/controller/fault_test.go
@@ -212,6 +212,12 @@
 	return l.faulter.List()
 }
 
+func (l *lockedFileSystem) SyncFile(name string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faulter.SyncFile(name)
+}
+
 func (l *lockedFileSystem) SyncFolder() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/diskfaulter/diskfaulter.go
+++ b/diskfaulter/diskfaulter.go
@@ -104,6 +104,14 @@
 	return f.crashed
 }
 
+// Kill simulates the end of the process, whether a crash was injected or not: nothing is lost yet, but what was not synced can
+// still be lost at the next Restart. Open files fail from now on.
+func (f *Faulter) Kill() {
+	f.crashAt, f.failSyncAt = 0, 0
+	f.crashed = false
+	f.generation++
+}
+
 // Restart simulates the restart after a crash. It loses a random part of what is not durable: each change of a name
 // since the folder was synced, and each sector written since its file was synced, is kept or lost. A lost sector before
 // a kept one reads as zeros.
@@ -235,6 +243,19 @@
 	return slices.Sorted(maps.Keys(f.files)), nil
 }
 
+// SyncFile makes the content of a file durable.
+func (f *Faulter) SyncFile(name string) error {
+	file, ok := f.files[name]
+	if !ok {
+		return errors.Wrap(fs.ErrNotExist, name)
+	}
+	if err := f.sync(); err != nil {
+		return err
+	}
+	file.synced = len(file.content)
+	return nil
+}
+
 // SyncFolder makes created, renamed and removed names durable.
 func (f *Faulter) SyncFolder() error {
 	if err := f.sync(); err != nil {
--- a/journaler/filesystem.go
+++ b/journaler/filesystem.go
@@ -19,6 +19,8 @@
 	Remove(name string) error
 	// List returns the names of the files in ascending order.
 	List() ([]string, error)
+	// SyncFile makes the content of a file durable, also what an earlier process wrote and did not sync.
+	SyncFile(name string) error
 	// SyncFolder makes earlier creations, renames and removals of files durable.
 	SyncFolder() error
 }
@@ -74,6 +76,15 @@
 	return names, nil
 }
 
+// SyncFile syncs a file, whichever process wrote it.
+func (d Disk) SyncFile(name string) error {
+	f, err := os.OpenFile(filepath.Join(d.Folder, name), os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	return firstError(f.Sync(), f.Close())
+}
+
 // SyncFolder syncs the folder itself, which makes creations, renames and removals of files durable.
 func (d Disk) SyncFolder() error {
 	f, err := os.Open(d.Folder)
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -167,6 +167,53 @@
 	}
 }
 
+// Guards against a log that takes what a killed process wrote but did not sync for durable: a loss of power after that takes
+// entries from its middle, so that it cannot be opened any more, or an acknowledged entry or vote is lost.
+func TestWhatAKilledProcessWroteSurvivesALossOfPower(t *testing.T) {
+	for _, size := range []uint64{500, 8 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			defer journaler.SetSegmentBytes(size)()
+			for kill := range 400 {
+				rng := rand.New(rand.NewPCG(2, uint64(kill)))
+				fs := diskfaulter.New()
+				for round := range 3 {
+					j, r, err := journaler.Open(fs)
+					if err != nil {
+						t.Fatalf("kill %d, round %d: %v", kill, round, err)
+					}
+					fs.CrashAfter(kill % 100)
+					workload(rng, j, modelOf(r), r.Entries, uint64(1000*round))
+					fs.Kill()
+				}
+				j, r, err := journaler.Open(fs)
+				if err != nil {
+					t.Fatalf("kill %d: %v", kill, err)
+				}
+				want := modelOf(r)
+				if rng.IntN(2) == 0 {
+					e := journaler.Entry{
+						Index: want.snapshot + uint64(len(want.entries)) + 1,
+						Term:  5000,
+					}
+					if err := j.Append([]journaler.Entry{e}); err != nil {
+						t.Fatalf("kill %d: %v", kill, err)
+					}
+					want.entries = append(want.entries, describe(e))
+				}
+				fs.Kill()
+				fs.Restart(rng)
+				_, r, err = journaler.Open(fs)
+				if err != nil {
+					t.Fatalf("kill %d: after the loss of power: %v", kill, err)
+				}
+				if got := modelOf(r); !equal(got, want) {
+					t.Fatalf("kill %d:\ngot  %v\nwant %v", kill, got, want)
+				}
+			}
+		})
+	}
+}
+
 // allowed reports whether got may be the content after a crash between before and after.
 func allowed(got, before, after model, pieces []string) bool {
 	if equal(got, after) || equal(got, before) {
--- a/journaler/open.go
+++ b/journaler/open.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// Open reads the folder of fs and returns a journal that continues its content. It cuts off an incomplete last write;
+// Open makes the content of the folder of fs durable, reads it, and returns a journal that continues it. It cuts off an incomplete last write;
 // any other damage is an ErrCorrupt that names the file and, for a record, the offset.
 func Open(fs FileSystem) (*Journaler, Recovered, error) {
 	j := Journaler{
@@ -33,6 +33,9 @@
 			snapshots = append(snapshots, name)
 		}
 	}
+	if err := j.syncAll(len(names) > 0); err != nil {
+		return nil, r, err
+	}
 	if slices.Contains(names, hardStateName) {
 		b, err := fs.ReadFile(hardStateName)
 		if err != nil {
@@ -55,6 +58,21 @@
 	return &j, r, nil
 }
 
+// syncAll makes what Open reads durable. An earlier process may have ended between a write and its sync: the bytes can be read
+// then, and would be acknowledged as part of the log, but a loss of power could still undo them. All other files were synced
+// before they got their names.
+func (j *Journaler) syncAll(used bool) error {
+	if !used {
+		return nil
+	}
+	for _, name := range j.segments {
+		if err := j.fs.SyncFile(name); err != nil {
+			return errors.Wrapf(err, "sync %s", name)
+		}
+	}
+	return errors.Wrap(j.fs.SyncFolder(), "sync data folder")
+}
+
 // readSnapshot reads the newest snapshot and removes older ones, which a crash before their removal left over.
 func (j *Journaler) readSnapshot(names []string, r *Recovered) error {
 	if len(names) == 0 {
