Bind renewals to the connection of their fence

Cause: a renewal could be sent over any open connection to the address. The first grant under a new fence opened one to the next process, and the renewals under old fences followed over it. A release that was not sent also made the leader forget that a fence was sent.

The simulation of the lessor fails when a target accepts a fence that is not above those of others.

Change: connections have numbers, the leader keeps for each fence the connection over which it was first sent, and a renewal names it.

It works since a process that has ended has closed its connections, and a new connection gets only fences that were never sent.

--- a/lessor/holder.go
+++ b/lessor/holder.go
@@ -1,6 +1,7 @@
 package lessor
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -27,12 +28,32 @@
 	unusableFences map[uint64]bool
 	// confirmed maps each fence to the spans that the incarnation has accepted under it.
 	confirmed map[uint64][]registrar.Span
-	// sentFences are the fences that were sent to this incarnation.
-	sentFences map[uint64]bool
+	// sentFences maps the fences that were sent to this incarnation to the connections over which that happened first, or to
+	// lostConnection.
+	sentFences map[uint64]uint64
 	// dialedAt is when the last grant call that was sent over a new connection ended.
 	dialedAt time.Time
 }
 
+// lostConnection stands for a connection that was closed, or of which nothing is known.
+const lostConnection = math.MaxUint64
+
+// setConnection records over which connection the fence of a grant call was sent, by the result of the call.
+func (h *holder) setConnection(m CallResultMsg) {
+	connection := uint64(lostConnection)
+	switch {
+	case m.Answered && m.Connection != 0:
+		connection = m.Connection
+	case m.NotSent:
+		connection = m.Call.Connection
+	}
+	if connection == 0 {
+		delete(h.sentFences, m.Call.Fence)
+		return
+	}
+	h.sentFences[m.Call.Fence] = connection
+}
+
 // releaseIsFinal reports whether no earlier grant can take effect after the incarnation releases a span that it holds
 // under fence. This is so if no grant is unconfirmed. It is also so if all unconfirmed grants have other fences and the
 // incarnation has accepted the span under fence: it rejects grants with a lower fence from then on.
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -196,7 +196,7 @@
 			unconfirmedUntil: make(map[uint64]time.Time),
 			renewAt:          make(map[spanKey]time.Time),
 			unusableFences:   make(map[uint64]bool),
-			sentFences:       make(map[uint64]bool),
+			sentFences:       make(map[uint64]uint64),
 			releases:         make(map[spanKey]bool),
 			confirmed:        make(map[uint64][]registrar.Span),
 		}
@@ -240,7 +240,7 @@
 	for inc, h := range l.holders {
 		maps.DeleteFunc(h.renewAt, func(k spanKey, _ time.Time) bool { return absent(k) })
 		maps.DeleteFunc(h.confirmed, func(f uint64, _ []registrar.Span) bool { return !fences[f] })
-		maps.DeleteFunc(h.sentFences, func(f uint64, _ bool) bool { return !fences[f] })
+		maps.DeleteFunc(h.sentFences, func(f, _ uint64) bool { return !fences[f] })
 		maps.DeleteFunc(h.unusableFences, func(f uint64, _ bool) bool { return !fences[f] })
 		maps.DeleteFunc(h.unconfirmedUntil, func(_ uint64, until time.Time) bool { return !l.now.Before(until) })
 		if !h.callInProgress() && !l.view.Registry.Alive(inc) && !l.now.Before(h.expiresAt) {
@@ -258,12 +258,10 @@
 		delete(h.releases, key)
 	} else {
 		h.granting = false
+		h.setConnection(m)
 	}
 	switch {
 	case m.Withdrawn:
-		if m.Call.Grant != nil && !m.Call.SameConnection {
-			delete(h.sentFences, key.fence)
-		}
 		return
 	case m.Answered:
 		h.failures = 0
@@ -274,9 +272,6 @@
 	default:
 		h.failures++
 		h.retryAt = now.Add(retryBackoff)
-		if m.NotSent {
-			delete(h.sentFences, key.fence)
-		}
 	}
 	if m.Call.Grant != nil {
 		l.grantAnswered(now, h, key, m)
@@ -293,7 +288,7 @@
 	if m.NotSent {
 		return
 	}
-	if !m.Call.SameConnection {
+	if m.Call.Connection == 0 {
 		h.dialedAt = now
 	}
 	until := now.Add(m.Call.Grant.Hold + leaser.DefaultMargin(l.settings.Hold))
--- a/lessor/lessor_test.go
+++ b/lessor/lessor_test.go
@@ -106,13 +106,14 @@
 		for _, call := range e.Calls {
 			key := fmt.Sprint(call.Incarnation.ID, call.Fence)
 			if sentFences[key] {
-				c.Assert(call.SameConnection, qt.IsTrue)
+				c.Assert(call.Connection, qt.Equals, uint64(1))
 			}
 			sentFences[key] = true
 			s.lessor.HandleResult(s.now, CallResultMsg{
-				Call:     call,
-				Answered: true,
-				OK:       true,
+				Call:       call,
+				Answered:   true,
+				OK:         true,
+				Connection: 1,
 			})
 		}
 	}
@@ -135,9 +136,9 @@
 		})
 		for _, call := range e.Calls {
 			if withdrawn[keyOf(call)] {
-				c.Assert(call.SameConnection, qt.IsTrue)
+				c.Assert(call.Connection, qt.Not(qt.Equals), uint64(0))
 			}
-			withdrawn[keyOf(call)] = withdrawn[keyOf(call)] || call.SameConnection
+			withdrawn[keyOf(call)] = withdrawn[keyOf(call)] || call.Connection != 0
 			s.lessor.HandleResult(s.now, CallResultMsg{
 				Call:      call,
 				NotSent:   true,
--- a/lessor/message.go
+++ b/lessor/message.go
@@ -15,9 +15,10 @@
 	Span        registrar.Span
 	Fence       uint64
 	Grant       *GrantCall
-	// SameConnection says that the call may be sent only over a connection that is already open. A new connection may
-	// reach another incarnation of the target, which must not get a fence that was sent to the previous incarnation.
-	SameConnection bool
+	// Connection is the number of the connection over which the fence was first sent, zero if it was not sent yet. The call may
+	// be made over that connection only: any other one may reach another incarnation of the target, which must not get a fence
+	// that was sent to the previous one.
+	Connection uint64
 }
 
 // IsRelease reports whether the call releases keys.
@@ -41,8 +42,10 @@
 	// Withdrawn says that the call was not made because this host did not lead at that moment. It tells nothing about the
 	// target.
 	Withdrawn bool
-	// Disconnected says that a call with SameConnection was not sent because no connection was open.
+	// Disconnected says that a call with a Connection was not sent because that one is not open any more.
 	Disconnected bool
+	// Connection is the number of the connection over which the target answered a grant.
+	Connection uint64
 	// Fenced says that the target rejected the call because it has seen a higher fence.
 	Fenced bool
 	// OK says that the target carried out the call.
--- a/lessor/scan.go
+++ b/lessor/scan.go
@@ -203,8 +203,7 @@
 	} else {
 		h.granting, h.grantingSpan = true, key
 		// Only the first grant under a fence may be sent over a new connection.
-		call.SameConnection = h.sentFences[key.fence]
-		h.sentFences[key.fence] = true
+		call.Connection = h.sentFences[key.fence]
 	}
 	l.effects.Calls = append(l.effects.Calls, call)
 }
--- a/lessor/simulation_test.go
+++ b/lessor/simulation_test.go
@@ -35,6 +35,8 @@
 	leases []lease
 	// fences lists all accepted grants, with the fences that the target has seen for their keys.
 	fences []lease
+	// connection is the number of the open connection to the target, zero if there is none.
+	connection uint64
 	// cut says that connections to the target fail by a timeout.
 	cut bool
 	// dead says that the process has ended.
@@ -45,6 +47,13 @@
 	hung bool
 }
 
+// acceptedGrant is a grant that an incarnation of a target has accepted.
+type acceptedGrant struct {
+	incarnation registrar.Incarnation
+	span        registrar.Span
+	fence       uint64
+}
+
 // timedEvent is a function that runs at a point in virtual time.
 type timedEvent struct {
 	at  time.Time
@@ -66,8 +75,11 @@
 	takenOut map[string]bool
 	targets  map[string]*fakeTarget
 	events   []timedEvent
-	// started counts the incarnations.
-	started int
+	// started counts the incarnations, connections the connections to them.
+	started     int
+	connections uint64
+	// accepted holds all grants that targets have accepted.
+	accepted []acceptedGrant
 	// heldSteps counts the steps at the end of which every key had an owner, of all steps.
 	heldSteps int
 	steps     int
@@ -211,12 +223,28 @@
 		})
 	}
 	ft := s.targetAt(c.Addr)
+	connection := uint64(0)
+	if ft != nil && c.Connection == 0 && ft.connection == 0 {
+		s.connections++
+		ft.connection = s.connections
+	}
+	if ft != nil {
+		connection = ft.connection
+	}
+	// A call that is given up closes its connection.
+	unanswered := func() {
+		ft.connection = 0
+		answer(time.Second, CallResultMsg{})
+	}
 	switch {
 	case ft == nil:
 		answer(5*time.Millisecond, CallResultMsg{
 			NotSent: true,
 		})
-	case c.SameConnection && (ft.target.Incarnation != c.Incarnation || s.rng.IntN(20) == 0):
+	case c.Connection != 0 && (c.Connection != ft.connection || s.rng.IntN(20) == 0):
+		if c.Connection == ft.connection {
+			ft.connection = 0
+		}
 		answer(time.Millisecond, CallResultMsg{
 			NotSent:      true,
 			Disconnected: true,
@@ -227,21 +255,23 @@
 		})
 	case ft.target.ID != c.Incarnation.ID:
 		answer(5*time.Millisecond, CallResultMsg{
-			Answered: true,
+			Answered:   true,
+			Connection: connection,
 		})
 	case ft.hung:
-		answer(time.Second, CallResultMsg{})
+		unanswered()
 	case ft.late && s.rng.IntN(2) == 0:
 		arrived := s.now.Add(2 * time.Millisecond)
 		s.after(time.Duration(2+s.rng.IntN(10))*time.Second, func() { ft.handle(c, arrived, s.now) })
-		answer(time.Second, CallResultMsg{})
+		unanswered()
 	case s.rng.IntN(50) == 0:
 		// The call arrives and its answer is lost.
-		s.after(2*time.Millisecond, func() { ft.handle(c, s.now, s.now) })
-		answer(time.Second, CallResultMsg{})
+		s.after(2*time.Millisecond, func() { s.deliver(ft, c) })
+		unanswered()
 	default:
 		s.after(2*time.Millisecond, func() {
-			m := ft.handle(c, s.now, s.now)
+			m := s.deliver(ft, c)
+			m.Connection = connection
 			took := 2 * time.Millisecond
 			if s.loaded && c.IsRelease() && s.rng.IntN(4) == 0 {
 				// Requests in flight on the keys delay the answer.
@@ -252,6 +282,27 @@
 	}
 }
 
+// deliver carries out a call, and fails the test if a target accepts keys with a fence that is not above all with which other
+// incarnations have accepted them.
+func (s *simulation) deliver(ft *fakeTarget, c CallMsg) CallResultMsg {
+	m := ft.handle(c, s.now, s.now)
+	if !m.OK || c.Grant == nil {
+		return m
+	}
+	for _, a := range s.accepted {
+		if a.incarnation != ft.target.Incarnation && a.fence >= c.Fence && a.span.From <= c.Span.To && c.Span.From <= a.span.To {
+			s.t.Fatalf("at %s: %v accepts %v with fence %d, %v has accepted %v with fence %d", s.now.Sub(time.Unix(1000, 0)),
+				ft.target.Incarnation, c.Span, c.Fence, a.incarnation, a.span, a.fence)
+		}
+	}
+	s.accepted = append(s.accepted, acceptedGrant{
+		incarnation: ft.target.Incarnation,
+		span:        c.Span,
+		fence:       c.Fence,
+	})
+	return m
+}
+
 // targetAt returns the target that listens at an address, nil if there is none.
 func (s *simulation) targetAt(addr netip.AddrPort) *fakeTarget {
 	for _, ft := range s.targets {
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -116,6 +116,9 @@
 		Echoed:   echo == r.Identity,
 		attempt:  a,
 		memory:   &c.pool.memory,
+
+		Connection: c.number,
+
 		reserved: reserved,
 	}, nil
 }
@@ -211,6 +214,8 @@
 	Header http.Header
 	// Length is the number of bytes of the body; -1 if the header does not give it, as with a chunked body.
 	Length int64
+	// Connection is the number of the connection, for Request.Connection.
+	Connection uint64
 	// Echoed is true if the answer repeats the identity of the request.
 	Echoed bool
 
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +32,9 @@
 // conn is one connection. It counts the bytes written and limits the bytes read for the header of an answer.
 type conn struct {
 	net.Conn
-	pool *pool
+	// number distinguishes the connection from all others of this process.
+	number uint64
+	pool   *pool
 	// raw is the socket of the connection, for alive; nil if there is none.
 	raw syscall.RawConn
 	br  *bufio.Reader
@@ -56,11 +59,15 @@
 	keepAlive time.Duration
 }
 
+// lastNumber is the number of the newest connection.
+var lastNumber atomic.Uint64
+
 // newConn returns a conn that sends over c. socket is the TCP connection that c uses, which is c itself without TLS;
 // alive reads from it before each reuse.
 func newConn(c, socket net.Conn, p *pool) *conn {
 	cn := conn{
 		Conn:            c,
+		number:          lastNumber.Add(1),
 		pool:            p,
 		headerRemaining: math.MaxInt64,
 	}
--- a/sender/fault.go
+++ b/sender/fault.go
@@ -8,15 +8,16 @@
 
 // Reasons of faults and refusals on the request path, as callers see them in Bramleyline-Reason.
 const (
-	ReasonUnreachable = "unreachable" // no connection could be opened
-	ReasonOverloaded  = "overloaded"  // no connection or no capacity was free
-	ReasonStaleRoute  = "staleRoute"  // the route of the request is out of date
-	ReasonDeadline    = "deadline"    // the deadline passed
-	ReasonCancelled   = "cancelled"   // the context was cancelled
-	ReasonCut         = "cut"         // the connection ended before the answer was complete
-	ReasonMalformed   = "malformed"   // the answer is invalid, has too long a header or has no length
-	ReasonCrossed     = "crossed"     // the answer belongs to another request
-	ReasonMemory      = "memory"      // the memory for answers is used up
+	ReasonUnreachable  = "unreachable"  // no connection could be opened
+	ReasonDisconnected = "disconnected" // the connection of Request.Connection is not open
+	ReasonOverloaded   = "overloaded"   // no connection or no capacity was free
+	ReasonStaleRoute   = "staleRoute"   // the route of the request is out of date
+	ReasonDeadline     = "deadline"     // the deadline passed
+	ReasonCancelled    = "cancelled"    // the context was cancelled
+	ReasonCut          = "cut"          // the connection ended before the answer was complete
+	ReasonMalformed    = "malformed"    // the answer is invalid, has too long a header or has no length
+	ReasonCrossed      = "crossed"      // the answer belongs to another request
+	ReasonMemory       = "memory"       // the memory for answers is used up
 )
 
 // ErrClosed is the cause of the Fault that a closed Sender returns.
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bramleyline.example/bramleyline/reserver"
 )
 
@@ -58,6 +60,29 @@
 	}
 }
 
+var errDisconnected = errors.New("connection is closed or in use")
+
+// acquireNumber takes the idle connection with a number, and a token. It fails with errDisconnected if there is none that is still
+// usable.
+func (p *pool) acquireNumber(number uint64) (*conn, error) {
+	p.mu.Lock()
+	i := slices.IndexFunc(p.idle, func(c *conn) bool { return c.number == number })
+	if i < 0 {
+		p.mu.Unlock()
+		return nil, errDisconnected
+	}
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.inUse++
+	p.mu.Unlock()
+	if c.withinKeepAlive(time.Now()) && c.alive() {
+		return c, nil
+	}
+	_ = c.Close()
+	p.release(nil)
+	return nil, errDisconnected
+}
+
 // acquireToken waits for a token, and returns a connection with it if one is unused or was released with the token.
 func (p *pool) acquireToken(ctx context.Context, limit int) (*conn, error) {
 	p.mu.Lock()
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -49,6 +49,9 @@
 	// UniqueIdentity says that only attempts of one request have the same Identity. A connection that last carried it is not
 	// used again then: should the answer arrive there once more, it would be taken for that to this attempt.
 	UniqueIdentity bool
+	// Connection is the number of the open connection over which alone the attempt may be made, zero for any. If that connection
+	// is not open any more, or in use, the fault has ReasonDisconnected and nothing is written.
+	Connection uint64
 	// EchoOptional allows an answer without that header; an answer with another identity is never accepted.
 	EchoOptional bool
 	// Undelimited allows an answer without a length, whose body ends with the connection.
@@ -187,6 +190,10 @@
 		if r.UniqueIdentity {
 			unique = r.Identity
 		}
+		if r.Connection != 0 {
+			c, err := p.acquireNumber(r.Connection)
+			return p, c, err
+		}
 		c, err := p.acquire(ctx, r.Connections, unique)
 		if err == nil || !errors.Is(err, ErrClosed) {
 			return p, c, err
@@ -200,6 +207,8 @@
 	switch {
 	case errors.Is(err, ErrClosed):
 		reason = ReasonUnreachable
+	case errors.Is(err, errDisconnected):
+		reason = ReasonDisconnected
 	case errors.Is(ctx.Err(), context.Canceled):
 		reason = ReasonCancelled
 	}
