Answer HEAD requests whose answer has a Content-Length

Callers of HEAD got 502 in place of the target's answer.

Cause: the reader of an answer expected as many bytes as Content-Length says, which for HEAD is the size of a body that does not follow.

Test, before: forwarder.TestHeadIsAnsweredWithoutABody, status 502. After: 200 with the header of the target.

It works since answers to HEAD, 204 and 304 have no body, whatever their header says.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -299,3 +299,15 @@
 	c.Assert(a.Status, qt.Equals, http.StatusOK)
 	c.Assert(n.Load(), qt.Equals, int32(2))
 }
+
+// Guards against a failure in place of an answer to HEAD: its Content-Length is the size of a body that does not follow.
+func TestHeadIsAnsweredWithoutABody(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c)
+	b.putTable()
+	b.target("a", "desk", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "12") })
+	a := b.send(context.Background(), http.MethodHead, "/lookup/1")
+	c.Assert(a.Status, qt.Equals, http.StatusOK)
+	c.Assert(a.Header.Get("Content-Length"), qt.Equals, "12")
+	c.Assert(a.Body, qt.HasLen, 0)
+}
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -107,10 +107,15 @@
 		f.Reason = ReasonMalformed
 		return nil, f
 	}
+	length := resp.ContentLength
+	if bodiless(resp, r.Method) {
+		// Content-Length tells the size of the body that another request would get.
+		length = 0
+	}
 	return &Response{
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
-		Length:   resp.ContentLength,
+		Length:   length,
 		body:     resp.Body,
 		reusable: !resp.Close,
 		Echoed:   echo == r.Identity,
@@ -125,8 +130,12 @@
 
 // delimited reports whether the header of the answer determines where its body ends.
 func delimited(resp *http.Response, method string) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || method == http.MethodHead ||
-		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || bodiless(resp, method)
+}
+
+// bodiless reports whether the answer has no body, whatever its header says.
+func bodiless(resp *http.Response, method string) bool {
+	return method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 }
 
 // fault closes the connection and returns the Fault for err.
