Remove targets that left long ago from the registry

Cause: nothing proposed the removal that the registry has.

Test: coordinator.TestTargetsThatLeftAreRemoved, for code that is new.

Change: the leader removes a target that has been draining for ten minutes and holds no keys, one each second. The command is one that applies, too.

Targets that end without a departure and whose address is not used again still stay.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -95,6 +95,7 @@
 	limitsPending atomic.Bool
 	limitsAt      time.Time
 	relay         relay
+	departures    departures
 
 	startOnce sync.Once
 	ctx       context.Context
@@ -293,6 +294,7 @@
 	st := s.opts.Controller.State()
 	s.updateLimits(now, st.Registry)
 	s.updateQuarantine(st.Registry)
+	s.removeEnded(now, st.Registry)
 	if !s.updateTable(st) {
 		return
 	}
@@ -330,6 +332,7 @@
 		s.leadingSince = since
 		s.issuer.Reset()
 		s.adjudicator.Reset()
+		s.departures = departures{}
 		s.lessor = lessor.New(since, lessor.Settings{
 			Hold:        s.opts.Hold,
 			CallTimeout: grantTimeout,
