Withdraw grants of a leader that was deposed while it connected

Two targets could hold the same keys for up to half a second, where the next leader cannot reach the first of them.

Cause: the lease was checked before a connection to the target was opened, which may take 500 ms. The next leader takes the grants of the one before for expired one hold after its own election.

Change: the lease of the term is checked immediately before the first byte.

It works since the lease ends before another host can be elected.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,7 +49,9 @@
 
 // Caller makes grant and release calls to targets.
 type Caller interface {
-	Call(ctx context.Context, c lessor.CallMsg) lessor.CallResultMsg
+	// Call makes a call. A grant is sent only if mayCall returns true immediately before: opening a connection takes so long that
+	// another host may be the leader by then, which counts only grants until its election.
+	Call(ctx context.Context, c lessor.CallMsg, mayCall func() bool) lessor.CallResultMsg
 }
 
 // Options are the dependencies and settings of a Coordinator. All are required.
@@ -408,9 +410,13 @@
 		Withdrawn: true,
 		Err:       controller.ErrNotLeader,
 	}
-	if current, ok := s.opts.Controller.Leading(timekeeper.Now()); ok && current.Equal(since) {
+	mayCall := func() bool {
+		current, ok := s.opts.Controller.Leading(timekeeper.Now())
+		return ok && current.Equal(since)
+	}
+	if mayCall() {
 		counters.Add("calls", 1)
-		m = s.opts.Caller.Call(ctx, c)
+		m = s.opts.Caller.Call(ctx, c, mayCall)
 	}
 	select {
 	case s.callResults <- callResult{
--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -66,7 +66,7 @@
 	overlap string
 }
 
-func (f *fakeTargets) Call(_ context.Context, c lessor.CallMsg) lessor.CallResultMsg {
+func (f *fakeTargets) Call(_ context.Context, c lessor.CallMsg, _ func() bool) lessor.CallResultMsg {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := c.Incarnation.ID
--- a/platformemulator/platformemulator_test.go
+++ b/platformemulator/platformemulator_test.go
@@ -53,7 +53,7 @@
 				Hold: time.Minute,
 			}
 		}
-		return targets.Call(context.Background(), call)
+		return targets.Call(context.Background(), call, func() bool { return true })
 	}
 	request := func(id string, key uint16) int {
 		req, err := http.NewRequest(http.MethodPost, "http://"+addr.String()+"/x", nil)
