--- a/sender/memory_test.go
+++ b/sender/memory_test.go
@@ -128,6 +128,9 @@
 				_, _ = w.Write(make([]byte, 1<<20))
 			})
 			sound.Start()
+			// The connection is opened before the processor is busy with what the faulty target sends.
+			_, f := readAll(s, sound.request("x"))
+			c.Assert(f == nil, qt.IsTrue, qt.Commentf("%v", f))
 			heap := watchHeap(c)
 			var wg sync.WaitGroup
 			var held, refused atomic.Int64
