Do not shrink a group that has more voters than it needs

In a deployment that has to bear no lost disk the leader would have removed two sound voters of three, and the group would have ended with the next machine.

Cause: since the promotion comes first, a group with more voters than 2 x hostLosses + 1 removes one, also where it was founded with more.

Test, before: TestDecide/more_voters_than_the_losses_need, the removal of b2. After: no change.

Change: a group shrinks only from an even number of voters, which bears no more losses than one voter less, and never to one voter.

--- a/recruiter/recruiter.go
+++ b/recruiter/recruiter.go
@@ -42,7 +42,8 @@
 // Decide returns the next change that the leader should make, false if there is none. peers are the other members.
 func (r Recruiter) Decide(peers []replicator.Peer) (Change, bool) {
 	voters, responsive := 1, 1
-	var candidate, excess *replicator.Peer
+	// slowest is the voter whose last answer is the longest ago.
+	var candidate, slowest *replicator.Peer
 	for i := range peers {
 		p := &peers[i]
 		switch {
@@ -51,8 +52,8 @@
 			if p.SinceAnswered < responsiveWithin {
 				responsive++
 			}
-			if excess == nil || p.SinceAnswered > excess.SinceAnswered {
-				excess = p
+			if slowest == nil || p.SinceAnswered > slowest.SinceAnswered {
+				slowest = p
 			}
 		case p.CaughtUp && p.SinceAnswered < responsiveWithin && candidate == nil:
 			candidate = p
@@ -60,17 +61,18 @@
 	}
 	replaced := replacedVoter(peers)
 	switch {
-	case voters > max(1, r.Voters):
+	case voters > r.target(voters):
+		removed := slowest
 		if replaced != nil {
-			excess = replaced
+			removed = replaced
 		}
-		if safeToRemove(voters, responsive, excess) {
+		if safeToRemove(voters, responsive, removed) {
 			return Change{
-				Remove: excess.Name,
+				Remove: removed.Name,
 			}, true
 		}
 	case candidate == nil || !safeToPromote(voters, responsive):
-	case voters < r.Voters || replaced != nil || excess != nil && excess.SinceAnswered > replaceAfter:
+	case voters < r.Voters || replaced != nil || slowest != nil && slowest.SinceAnswered > replaceAfter:
 		return Change{
 			Promote: candidate.Name,
 		}, true
@@ -85,6 +87,15 @@
 	return Change{}, false
 }
 
+// target returns the number of voters to which a group shrinks. An odd number never shrinks, since each voter less is a lost disk
+// less that the group survives; a fourth voter adds none.
+func (r Recruiter) target(voters int) int {
+	if voters <= 2 {
+		return max(r.Voters, voters)
+	}
+	return max(r.Voters, (voters-1)|1)
+}
+
 // replacedVoter returns an unresponsive voter whose address now belongs to another member that has caught up, nil if
 // there is none: the process and the disk of the voter are gone.
 func replacedVoter(peers []replicator.Peer) *replicator.Peer {
--- a/recruiter/recruiter_test.go
+++ b/recruiter/recruiter_test.go
@@ -1,6 +1,7 @@
 package recruiter
 
 import (
+	"cmp"
 	"net/netip"
 	"testing"
 	"time"
@@ -27,10 +28,28 @@
 // voter whose disk is gone.
 func TestDecide(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		peers []replicator.Peer
-		want  Change
+		name string
+		// voters is the number that the group should have, 3 if it is zero.
+		voters int
+		peers  []replicator.Peer
+		want   Change
 	}{
+		{
+			name:   "more voters than the losses need",
+			voters: 1,
+			peers:  []replicator.Peer{peer("b2", false, 0), peer("c3", false, 0), peer("d4", true, 0)},
+		},
+		{
+			name:   "more voters than the losses need, and one is lost",
+			voters: 1,
+			peers:  []replicator.Peer{peer("b2", false, 5*time.Second), peer("c3", false, 0), peer("d4", true, 0)},
+			want:   Change{Promote: "d4"},
+		},
+		{
+			name:   "two voters",
+			voters: 1,
+			peers:  []replicator.Peer{peer("b2", false, 0)},
+		},
 		{
 			name:  "complete group",
 			peers: []replicator.Peer{peer("b2", false, 0), peer("c3", false, 0), peer("d4", true, 0)},
@@ -99,7 +118,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			got, ok := Recruiter{
-				Voters: 3,
+				Voters: cmp.Or(test.voters, 3),
 			}.Decide(test.peers)
 			c.Assert(ok, qt.Equals, test.want != Change{})
 			c.Assert(got, qt.Equals, test.want)
