Spread the return of callers that are refused during a stop

Callers that were refused in the two seconds before the balancer notices a stop were told to come back within the same tenth of a second. A caller whose request another host had passed on was told to wait for a balancer that it does not use.

Test, before: forwarder.TestCallersRefusedInAStopDoNotReturnTogether, all waits within 0.1 s of each other. After: they are spread over as long as the wait is.

--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -21,7 +21,8 @@
 	// stopTimeFactor is the factor by which a request may take longer than expected. Until the balancer has noticed a stop,
 	// a caller that is refused may come back to the same host, so requests are taken that are likely to end in time.
 	stopTimeFactor = 1.5
-	// stopRetrySpread spreads the return of the callers that are refused in a stop.
+	// stopRetrySpread is the least time over which the return of callers that are refused in a stop is spread. Those who have to wait
+	// for the balancer return over as long as they wait, since they were refused over that time.
 	stopRetrySpread = 100 * time.Millisecond
 )
 
@@ -45,5 +46,10 @@
 	if noticedIn > 0 && expected <= left {
 		return nil
 	}
-	return x.giveUp(reasonStopping, max(0, noticedIn)+rand.N(stopRetrySpread))
+	wait := max(0, noticedIn)
+	if x.relayed {
+		// The caller is at another host, which does not stop.
+		wait = 0
+	}
+	return x.giveUp(reasonStopping, wait+rand.N(max(stopRetrySpread, wait)))
 }
