Refuse an upload that does not fit before it is asked for

A caller that waits for "100 Continue" was told to send a body that was refused then. The length and the memory are checked before. acceptor.TestUploadsAreBoundedTogether sends that header now, and fails before: it reads 100 in place of 503.

--- a/acceptor/body.go
+++ b/acceptor/body.go
@@ -20,20 +20,25 @@
 
 var errNoMemory = errors.New("no memory is left for the body")
 
+// checkBody returns an error if the body that a request announces is too long, or if half of it does not fit besides what is held
+// already: while it arrives, others are completed.
+func (c *conn) checkBody(req *http.Request, limit int64) error {
+	switch {
+	case req.ContentLength > limit:
+		return errBodyTooLong
+	case !c.acceptor.Memory.Fits(max(0, req.ContentLength) / 2):
+		return errNoMemory
+	}
+	return nil
+}
+
 // readBody reads the whole body of a request in parts, and returns it with the memory that is reserved for it. It fails with
-// errNoMemory before the body is read, if half of it does not fit besides what is held already, or when its next part does not.
+// errNoMemory when its next part does not fit.
 func (c *conn) readBody(req *http.Request, limit int64) (body [][]byte, reserved int64, err error) {
-	if req.ContentLength > limit {
-		return nil, 0, errBodyTooLong
-	}
 	if req.ContentLength == 0 || req.Body == nil {
 		return nil, 0, nil
 	}
 	memory := c.acceptor.Memory
-	// While this body arrives, others are completed.
-	if !memory.Fits(max(0, req.ContentLength) / 2) {
-		return nil, 0, errNoMemory
-	}
 	defer func() {
 		if err != nil {
 			memory.Release(reserved)
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -123,6 +123,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.checkBody(req, limits.BodyBytes); err != nil {
+		return nil, err
+	}
 	if req.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
--- a/acceptor/memory_test.go
+++ b/acceptor/memory_test.go
@@ -104,7 +104,7 @@
 
 	// A body of which half cannot fit is refused before it is sent.
 	conn, br := dial()
-	_, err = io.WriteString(conn, fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 2*limit+2))
+	_, err = io.WriteString(conn, fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", 2*limit+2))
 	c.Assert(err, qt.IsNil)
 	resp, _ := readAnswer(c, br)
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
