--- a/sender/conn.go
+++ b/sender/conn.go
@@ -19,7 +19,7 @@
 	// maxAnswerHeader is the largest header of an answer, in bytes. http.ReadResponse sets no limit of its own.
 	maxAnswerHeader = 64 << 10
 	// freeHeader is the size of a header, in bytes, up to which nothing is reserved for it. headerFactor is the number of
-	// bytes that parsing allocates for each byte beyond: 26 were measured for header lines of three bytes.
+	// bytes that are reserved for each byte beyond: parsing allocates strings, slices and map entries for each short line.
 	freeHeader   = 8 << 10
 	headerFactor = 28
 )
