Withdraw releases of a leader that was deposed while it connected

A release that a thawed or cut-off host had begun was still sent after another host was elected, which may have granted the keys to the same target again: the target serves them no more until its next renewal.

Cause: only grants asked for the lease immediately before their first byte; releases went through http.Client, which has no such moment.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -49,8 +49,8 @@
 
 // Caller makes grant and release calls to targets.
 type Caller interface {
-	// Call makes a call. A grant is sent only if mayCall returns true immediately before: opening a connection takes so long that
-	// another host may be the leader by then, which counts only grants until its election.
+	// Call makes a call. It is sent only if mayCall returns true immediately before: opening a connection takes so long that another
+	// host may be the leader by then. That one counts only grants until its election, and may have granted what is to be released.
 	Call(ctx context.Context, c lessor.CallMsg, mayCall func() bool) lessor.CallResultMsg
 }
 
