Bound the memory of small answers, too

Bodies up to 16 KB were not reserved, on the ground that connections are few; but an answer that waits for a slow caller has given its connection back, so that thousands of them could be held.

Test: sender.TestSmallAnswersAreBoundedApart. It needs the new bound and cannot be built on the code before; bodies of that size were exempt there by the code.

Change: small bodies have a bound of their own, as large as that of long ones, so that they still go on when a few targets have used that up. An answer holds its reservation as an interface in place of a function, which takes no allocation.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -61,8 +61,13 @@
 	Body   []byte
 	// Abort makes the acceptor close the connection without an answer.
 	Abort bool
-	// Release is called once when the answer was written or dropped; it may be nil.
-	Release func()
+	// Held is released once the answer was written or dropped; it may be nil.
+	Held Releaser
+}
+
+// Releaser is memory that an answer takes until its caller has it.
+type Releaser interface {
+	Release()
 }
 
 // Handler answers requests. Handle is called concurrently; its context is cancelled when the caller has disconnected.
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -190,8 +190,8 @@
 	defer func() { <-c.sem }()
 	defer c.acceptor.Memory.Release(r.reserved)
 	a := c.acceptor.Handler.Handle(c.ctx, r)
-	if a.Release != nil {
-		defer a.Release()
+	if a.Held != nil {
+		defer a.Held.Release()
 	}
 	<-previous
 	c.mu.Lock()
--- a/director/memory.go
+++ b/director/memory.go
@@ -3,8 +3,8 @@
 import "bramleyline.example/bramleyline/reserver"
 
 const (
-	// bodyShare and answerShare are the shares of the memory limit of the process that the bodies of callers, and the answers of
-	// targets and other hosts, may take. The rest is for all else and for garbage.
+	// bodyShare and answerShare are the shares of the memory limit of the process that the bodies of callers, and the long answers of
+	// targets and other hosts, may take. Small answers may take as much as long ones. The rest is for all else and for garbage.
 	bodyShare   = 0.5
 	answerShare = 0.15
 	// defaultBodyMemory and defaultAnswerMemory, in bytes, apply where the settings state no limit.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -84,7 +84,7 @@
 		Header: stripper.EndToEnd(resp.Header, func(string) bool { return false }),
 		Body:   body,
 
-		Release: x.passOn(),
+		Held: x.passOn(),
 	}, false
 }
 
@@ -154,14 +154,11 @@
 	x.resp = resp
 }
 
-// passOn returns the function that frees the memory of the last answer once its caller has it, nil if none is reserved.
-func (x *exchange) passOn() func() {
+// passOn returns the memory of the last answer, which is to be released once its caller has it.
+func (x *exchange) passOn() acceptor.Releaser {
 	resp := x.resp
 	x.resp = nil
-	if resp.Reserved() == 0 {
-		return nil
-	}
-	return resp.Release
+	return resp
 }
 
 // release frees the memory that is reserved for the last answer.
--- a/forwarder/endless_test.go
+++ b/forwarder/endless_test.go
@@ -93,7 +93,7 @@
 			}()
 			b.announce("t0", "desk", netip.MustParseAddrPort(ln.Addr().String()))
 			a := b.send(context.Background(), http.MethodPost, "/order/1")
-			c.Assert(a.Release == nil, qt.IsTrue)
+			c.Assert(a.Held == nil, qt.IsTrue)
 			c.Assert(a.Status >= 502, qt.IsTrue, qt.Commentf("%d", a.Status))
 			c.Assert(a.Status, qt.Not(qt.Equals), 503)
 			select {
@@ -118,6 +118,6 @@
 	a := b.send(context.Background(), http.MethodPost, "/order/1")
 	c.Assert(a.Body, qt.HasLen, 1<<20)
 	c.Assert(b.memory.Held() >= 1<<20, qt.IsTrue)
-	a.Release()
+	a.Held.Release()
 	c.Assert(b.memory.Held(), qt.Equals, int64(0))
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -334,22 +334,22 @@
 	if fault != nil {
 		return nil, false, fault
 	}
-	var release func()
+	var held acceptor.Releaser
 	taken = resp.Header.Get(signer.HeaderLinks) == ""
 	body, fault := resp.ReadAll()
-	if fault == nil && taken && resp.Reserved() > 0 {
+	if fault == nil && taken {
 		resp.Keep()
-		release = resp.Release
+		held = resp
 	}
 	_ = resp.Close()
 	if fault != nil {
 		return nil, false, fault
 	}
 	return &acceptor.Answer{
-		Status:  resp.Status,
-		Header:  stripper.EndToEnd(resp.Header, ownHeader),
-		Body:    body,
-		Release: release,
+		Status: resp.Status,
+		Header: stripper.EndToEnd(resp.Header, ownHeader),
+		Body:   body,
+		Held:   held,
 	}, taken, nil
 }
 
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -121,6 +121,7 @@
 		Echoed:   echo == r.Identity,
 		attempt:  a,
 		memory:   &c.pool.memory,
+		small:    c.pool.small,
 
 		Connection: c.number,
 
@@ -236,11 +237,13 @@
 	fault   *Fault
 	attempt *attempt
 	ended   bool
-	// memory bounds what is held of the answers of the target, and reserved is what is held of this one. kept is true after
-	// Keep.
-	memory   *reserver.Reserver
-	reserved int64
-	kept     bool
+	// memory bounds what is held of the answers of the target, and reserved is what is held of this one. small and reservedSmall
+	// are the same for small bodies of all targets. kept is true after Keep.
+	memory        *reserver.Reserver
+	reserved      int64
+	small         *reserver.Reserver
+	reservedSmall int64
+	kept          bool
 	// end is the buffer for the read that finds the end of the body.
 	end [1]byte
 	// OnEnd is called once, at Close or at the first error of Read. whole is true if the body was read to its end; f is
--- a/sender/body.go
+++ b/sender/body.go
@@ -9,9 +9,9 @@
 const (
 	// MaxBody is the largest body of an answer, in bytes, that ReadAll reads: a faulty target may send without end.
 	MaxBody = 8 << 20
-	// freeBody is the size of a body, in bytes, up to which nothing is reserved for it. A host has some hundred connections,
-	// so small answers never need much memory, and they go on when others have used it up.
-	freeBody = 16 << 10
+	// smallBody is the size of a body, in bytes, up to which its memory is reserved apart from that of long ones: small answers go
+	// on when a few targets have used that up.
+	smallBody = 16 << 10
 	// firstPart is the initial size of the buffer for a body without a length; the buffer doubles when it is full.
 	firstPart = 4 << 10
 )
@@ -69,9 +69,13 @@
 	}
 }
 
-// reserve reserves memory for a buffer of size bytes, if it is larger than freeBody. It returns false if there is none.
+// reserve reserves memory for a buffer of size bytes. It returns false if there is none.
 func (r *Response) reserve(size int64) bool {
-	if size <= freeBody {
+	if size <= smallBody {
+		if !r.small.Reserve(size) {
+			return false
+		}
+		r.reservedSmall += size
 		return true
 	}
 	if !r.memory.Reserve(size) {
@@ -83,10 +87,13 @@
 
 // unreserve gives back what reserve reserved for a buffer that is replaced by a larger one.
 func (r *Response) unreserve(size int64) {
-	if size > freeBody {
-		r.memory.Release(size)
-		r.reserved -= size
+	if size <= smallBody {
+		r.small.Release(size)
+		r.reservedSmall -= size
+		return
 	}
+	r.memory.Release(size)
+	r.reserved -= size
 }
 
 // Keep makes the reservations for the answer outlast Close, until Release.
@@ -94,15 +101,11 @@
 	r.kept = true
 }
 
-// Reserved returns the number of bytes that are reserved for the answer.
-func (r *Response) Reserved() int64 {
-	return r.reserved
-}
-
 // Release gives back the memory that is reserved for the answer. Its header and body must not be used any more.
 func (r *Response) Release() {
 	r.memory.Release(r.reserved)
-	r.reserved = 0
+	r.small.Release(r.reservedSmall)
+	r.reserved, r.reservedSmall = 0, 0
 }
 
 // giveUp closes the connection because of err, with the rest of the answer unread.
--- a/sender/memory_test.go
+++ b/sender/memory_test.go
@@ -237,3 +237,34 @@
 		c.Fatal("connection stays open")
 	}
 }
+
+// Guards against small answers without a bound on their sum, while their callers take them slowly, and against small answers that
+// fail because long ones have used up their memory.
+func TestSmallAnswersAreBoundedApart(t *testing.T) {
+	c := qt.New(t)
+	memory := reserver.Reserver{
+		Limit: 10 << 10,
+	}
+	s := New(nil, WithMemory(&memory))
+	c.Cleanup(s.Close)
+	w := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 4<<10)) })
+	w.Start()
+	c.Assert(memory.Reserve(10<<10), qt.IsTrue)
+	var held []*Response
+	for range 2 {
+		resp, f := s.Send(context.Background(), w.request("x"))
+		c.Assert(f == nil, qt.IsTrue)
+		_, f = resp.ReadAll()
+		c.Assert(f == nil, qt.IsTrue, qt.Commentf("%v", f))
+		resp.Keep()
+		c.Assert(resp.Close(), qt.IsNil)
+		held = append(held, resp)
+	}
+	_, f := readAll(s, w.request("x"))
+	c.Assert(f.Reason, qt.Equals, ReasonMemory)
+	held[0].Release()
+	_, f = readAll(s, w.request("x"))
+	c.Assert(f == nil, qt.IsTrue, qt.Commentf("%v", f))
+	held[1].Release()
+	c.Assert(s.small.Held(), qt.Equals, int64(0))
+}
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -22,6 +22,8 @@
 	addr netip.AddrPort
 	// memory bounds the bytes that are held of answers from this address.
 	memory reserver.Reserver
+	// small bounds the bytes that are held of the small bodies of all addresses; nil means no bound.
+	small *reserver.Reserver
 
 	mu sync.Mutex
 	// idle holds the unused connections, the most recently used last.
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -100,6 +100,7 @@
 type Sender struct {
 	dial      DialFunc
 	memory    *reserver.Reserver
+	small     reserver.Reserver
 	pools     sync.Map // netip.AddrPort to *pool
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -111,8 +112,9 @@
 // Option changes a Sender at its construction.
 type Option func(*Sender)
 
-// WithMemory bounds the bytes that are held of all answers together. A single target may hold a part of them only, so that the
-// answers of others can be read while a faulty one sends without end. The default is no bound.
+// WithMemory bounds the bytes that are held of all long answers together, and those of small ones by as many again. A single target
+// may hold a part of the first only, so that the answers of others can be read while a faulty one sends without end. The default is
+// no bound.
 func WithMemory(m *reserver.Reserver) Option {
 	return func(s *Sender) { s.memory = m }
 }
@@ -129,6 +131,9 @@
 	for _, o := range opts {
 		o(&s)
 	}
+	if s.memory != nil {
+		s.small.Limit = s.memory.Limit
+	}
 	return &s
 }
 
@@ -141,6 +146,7 @@
 		memory: reserver.Reserver{
 			Parent: s.memory,
 		},
+		small: &s.small,
 	}
 	if s.memory != nil && s.memory.Limit > 0 {
 		fresh.memory.Limit = max(MaxBody+1, s.memory.Limit/targetPart)
