--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -33,6 +33,8 @@
 	Prefix string
 	// Repeatable says that it is safe to run a request more than once.
 	Repeatable bool
+	// Upload says that requests carry large bodies. They are not repeatable.
+	Upload bool
 	// Timeout bounds the time until the caller gets an answer.
 	Timeout time.Duration
 	// Objective is the latency objective: an answer that takes longer is late.
