--- a/sender/memory_test.go
+++ b/sender/memory_test.go
@@ -140,7 +140,7 @@
 					r.Connections = requests
 					r.Deadline = time.Now().Add(2 * time.Second)
 					_, f := readAll(s, r)
-					if c.Check(f != nil && f.MayHaveRun, qt.IsTrue) && f.Reason == ReasonMemory {
+					if c.Check(f != nil && f.MayHaveRun, qt.IsTrue, qt.Commentf("%v", f)) && f.Reason == ReasonMemory {
 						refused.Add(1)
 					}
 					held.Store(max(held.Load(), memory.Held()))
