Refuse answers of targets whose status is not valid

Cause: sender took every status below 200 as informational, so a target's answer with status 000, 099 or "+20" was skipped, and the bytes that followed it on the connection were delivered as the answer. 600 to 999 were passed on.

No status, letters, four digits and 1xx without end were already refused.

Change: a status outside of 100 to 599 is a malformed answer: the connection is closed, the outcome counts as unknown, and the caller gets 502.

--- a/forwarder/truncated_test.go
+++ b/forwarder/truncated_test.go
@@ -24,6 +24,10 @@
 			name: "head",
 			text: head,
 		},
+		{
+			name: "status 000 before an answer",
+			text: "HTTP/1.1 000 Bad\r\n" + testRequest + ": r1\r\nContent-Length: 0\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		},
 		{
 			name: "length, closed",
 			text: head + "Content-Length: 10\r\n\r\nhalf",
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -144,6 +144,10 @@
 			_, _ = io.WriteString(c, "SSH-2.0-bastion\r\n\r\n")
 			return true
 		}},
+		{"status 000 before an answer", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 000 Bad\r\nContent-Length: 0\r\n\r\n")
+			return writeAnswer(c, r.Header.Get("Bramleyline-Request"), "not an answer any more")
+		}},
 		{"never answers", 504, "deadline", 1, func(c net.Conn, _ int, _ *http.Request, _ string) bool {
 			_, _ = io.Copy(io.Discard, c)
 			return false
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -84,6 +84,9 @@
 		if err != nil {
 			return nil, a.fault(err, "no answer")
 		}
+		if !validStatus(resp.StatusCode) {
+			return nil, a.fault(errors.Errorf("status %03d is not valid", resp.StatusCode), "malformed answer")
+		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			break
 		}
@@ -129,6 +132,11 @@
 	}, nil
 }
 
+// validStatus reports whether status has one of the classes 1xx to 5xx. http.ReadResponse accepts any three digits.
+func validStatus(status int) bool {
+	return status >= 100 && status <= 599
+}
+
 // delimited reports whether the header of the answer determines where its body ends.
 func delimited(resp *http.Response, method string) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || bodiless(resp, method)
