Exchange the loads of targets between hosts

Cause: a host sees one in ninety requests of a shared service, so its loads of targets are stale. Change: entry hosts report requests in flight, loads and arriving work to their control host; control hosts exchange sums; answers carry what changed; the selector uses them for services of 220 ms or more.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	"bramleyline.example/bramleyline/adjudicator"
+	"bramleyline.example/bramleyline/aggregator"
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/cacher"
 	"bramleyline.example/bramleyline/controller"
@@ -54,8 +55,10 @@
 	Call(ctx context.Context, c lessor.CallMsg, mayCall func() bool) lessor.CallResultMsg
 }
 
-// Options are the dependencies and settings of a Coordinator. All are required.
+// Options are the dependencies and settings of a Coordinator. All but Name are required.
 type Options struct {
+	// Name is the name of this control host. If it is empty, the host does not ask others for the loads of targets.
+	Name       string
 	Controller *controller.Controller
 	Caller     Caller
 	// Decode decodes a stored traffic table.
@@ -98,6 +101,8 @@
 	limitsAt      time.Time
 	relay         relay
 	departures    departures
+	// loads holds the loads of targets and the demand that entry hosts report.
+	loads aggregator.Aggregator
 
 	startOnce sync.Once
 	ctx       context.Context
@@ -198,6 +203,7 @@
 	defer close(s.done)
 	var relays sync.WaitGroup
 	relays.Go(s.relayReports)
+	relays.Go(s.exchangeLoads)
 	defer relays.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"bramleyline.example/bramleyline/aggregator"
 	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/issuer"
 	"bramleyline.example/bramleyline/messenger"
@@ -42,10 +43,19 @@
 	Stated []issuer.StatedMsg
 	// Relayed says that a control host relays reports of other hosts.
 	Relayed bool
+	// Load is the report of the loads of targets and of the demand, nil from a host that has none and from an old one.
+	Load *aggregator.ReportMsg
 }
 
-// ObserveReply is the answer of Leader.Observe.
-type ObserveReply struct{}
+// ObserveReply is the answer of Leader.Observe. Load is nil if the report had no loads, and from an old host.
+type ObserveReply struct {
+	Load *aggregator.UpdateMsg
+}
+
+// ExchangeArgs are the arguments of Leader.Exchange: what the caller has read from this host.
+type ExchangeArgs struct {
+	Known aggregator.Position
+}
 
 // leaderService implements the RPC service "Leader".
 type leaderService struct {
@@ -93,13 +103,23 @@
 
 // Observe takes the load reports and lost requests that an entry host or another control host sent. Relayed load
 // reports are refused unless this host leads, so that they are not relayed again.
-func (s *leaderService) Observe(args *ObserveArgs, _ *ObserveReply) error {
+func (s *leaderService) Observe(args *ObserveArgs, reply *ObserveReply) error {
 	if args.Relayed && !s.coordinator.leads() {
 		// The sender keeps the losses for the next leader.
 		return controller.ErrNotLeader
 	}
 	s.coordinator.Observe(args.Work, args.Stated)
 	s.coordinator.observeLosses(args.Losses, args.Completed)
+	if args.Load != nil {
+		// A malformed report of loads does not make the rest of the report invalid.
+		reply.Load, _ = s.coordinator.loads.Report(timekeeper.Now(), args.Load)
+	}
+	return nil
+}
+
+// Exchange returns the loads that changed on the entry hosts that report to this control host.
+func (s *leaderService) Exchange(args *ExchangeArgs, reply *aggregator.UpdateMsg) error {
+	*reply = *s.coordinator.loads.Exchange(timekeeper.Now(), args.Known)
 	return nil
 }
 
--- a/director/control.go
+++ b/director/control.go
@@ -102,6 +102,7 @@
 	}
 	d.source = c
 	ctl.coordinator = coordinator.New(coordinator.Options{
+		Name:       name,
 		Controller: c,
 		Caller:     d.protocol.Targets,
 		Decode:     d.decode,
--- a/director/entry.go
+++ b/director/entry.go
@@ -86,6 +86,8 @@
 	stopTimes atomic.Pointer[forwarder.Stop]
 
 	meter meter
+	// loads exchanges the loads of targets and the arriving work with the control host.
+	loads loads
 	// suspects records the requests that are suspected of crashing their targets.
 	suspects quarantiner.Quarantiner
 }
@@ -109,15 +111,18 @@
 		memory: newEntryMemory(s.Direct.Memory),
 		selector: &selector.Selector{
 			DataCentre: s.DataCentre,
+			Slow:       make(chan struct{}, 1),
 		},
 		changed: make(chan struct{}),
 	}
+	e.loads.name, e.loads.selector, e.loads.log = s.Name, e.selector, d.log
+	e.loads.view = func() *viewer.View {
+		v, _ := e.currentView()
+		return v
+	}
 	e.sender = sender.New(d.dialTarget, sender.WithMemory(&e.memory.answers))
 	e.limiter = limiter.New(limiter.Options{
-		View: func() *viewer.View {
-			v, _ := e.currentView()
-			return v
-		},
+		View:    e.loads.view,
 		ViewAge: e.stateAge,
 		Ask:     e.askForTokens,
 		Log:     d.log,
@@ -135,6 +140,7 @@
 		Log:         d.log,
 		ViewAge:     e.stateAge,
 		Meter:       &e.meter,
+		Arrivals:    &e.loads,
 		Quarantiner: &e.suspects,
 		Dial:        d.dialTarget,
 		Links:       e.links.detector,
@@ -277,16 +283,23 @@
 	var observations []coordinator.ServiceLoadMsg
 	var stated []issuer.StatedMsg
 	var lost lossReport
+	var pending pendingReport
 	for {
 		select {
 		case <-e.d.ctx.Done():
 			return
 		case <-timer.C:
 			timer.Reset(e.reportWait())
-			observations, stated = e.meter.take(), e.limiter.Stated()
+			observations, stated, pending = e.meter.take(), e.limiter.Stated(), e.loads.report(time.Now())
+		case <-e.selector.Slow:
+			// Other hosts are told of a slow target before its slow period, which lasts 400 ms, has ended.
+			if wait, ok := e.loads.earlyWait(time.Now()); ok {
+				timer.Reset(wait)
+			}
+			continue
 		case <-e.suspects.News():
 			// Other hosts send the request too until they are told.
-			observations, stated = nil, nil
+			observations, stated, pending = nil, nil, pendingReport{}
 			time.Sleep(lossInterval)
 		}
 		addr := e.d.puller.Source()
@@ -294,7 +307,7 @@
 			continue
 		}
 		lost.fill(&e.suspects, time.Now())
-		if len(observations)+len(stated) == 0 && lost.empty() {
+		if len(observations)+len(stated) == 0 && pending.msg == nil && lost.empty() {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(e.d.ctx, reportTimeout)
@@ -304,10 +317,12 @@
 			Losses:    lost.losses,
 			Completed: lost.completed,
 			Stated:    stated,
+			Load:      pending.msg,
 		}, &reply)
 		cancel()
 		if err == nil {
 			lost = lossReport{}
+			e.loads.learn(pending, reply.Load)
 		} else if e.d.ctx.Err() == nil {
 			e.d.log.Debug("report lost", "host", addr, "services", len(observations), "err", err)
 		}
--- /dev/null
+++ b/director/loads.go
@@ -0,0 +1,323 @@
+package director
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bramleyline.example/bramleyline/aggregator"
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/selector"
+	"bramleyline.example/bramleyline/viewer"
+)
+
+const (
+	// minServiceTime is the mean service time of a service from which its loads are exchanged: those of shorter requests have
+	// changed by the time they arrive. Once exchanged, they are until the mean falls below keepServiceTime, so that a service
+	// whose mean is about as long does not change all the time.
+	minServiceTime  = 220 * time.Millisecond
+	keepServiceTime = 200 * time.Millisecond
+	// serviceTimeWeight is the least weight of one arrival in the mean service time of a service.
+	serviceTimeWeight = 0.02
+	// maxDemandAge is the age from which demand counts as unknown.
+	maxDemandAge = 2 * time.Second
+	// maxScale bounds the factor by which loads are scaled up for hosts that do not report. If fewer report, counts are ignored.
+	maxScale = 2.0
+	// earlyReportInterval is the least time between two reports if the later one is early, as a target became slow.
+	earlyReportInterval = 150 * time.Millisecond
+	// loadLogInterval is the time between two log lines on learned loads.
+	loadLogInterval = 30 * time.Second
+)
+
+var loadCounters = expvar.NewMap("loads")
+
+// loads reports the loads of targets and the arriving work that this host observes, and passes on to the selector what it
+// learns from the control host. It implements forwarder.ArrivalMeter. Times are those of the selector.
+type loads struct {
+	name     string
+	selector *selector.Selector
+	view     func() *viewer.View
+	log      *log.Logger
+
+	mu       sync.Mutex
+	services map[string]*arrivals
+	reader   aggregator.Reader
+	targets  map[string]*targetIndex
+	// reportedAt is the time of the last report, and acknowledgedAt that of the last one with an answer.
+	reportedAt     time.Time
+	acknowledgedAt time.Time
+	loggedAt       time.Time
+}
+
+// arrivals is the work that arrived for one service.
+type arrivals struct {
+	// mean is the mean expected service time of count arrivals.
+	mean  time.Duration
+	count int
+	// active says that the service meets the condition.
+	active bool
+	// work is the work that arrived since the last report, by priority.
+	work map[int]time.Duration
+}
+
+// targetIndex maps the hashes of the targets of a service to their incarnations.
+type targetIndex struct {
+	pool    registrar.Pool
+	targets map[uint32]registrar.Incarnation
+}
+
+// pendingReport is a report that is being sent.
+type pendingReport struct {
+	msg    *aggregator.ReportMsg
+	sentAt time.Time
+	// counts are the requests in flight in the report.
+	counts map[uint32]int
+}
+
+// RecordArrival records the expected service time of a request.
+func (l *loads) RecordArrival(service string, priority int, serviceTime time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.services == nil {
+		l.services = make(map[string]*arrivals)
+	}
+	a, ok := l.services[service]
+	if !ok {
+		a = &arrivals{
+			work: make(map[int]time.Duration),
+		}
+		l.services[service] = a
+	}
+	a.count++
+	a.mean += time.Duration(max(serviceTimeWeight, 1/float64(a.count)) * float64(serviceTime-a.mean))
+	if active := a.mean >= minServiceTime || a.active && a.mean >= keepServiceTime; active != a.active {
+		a.active = active
+		l.log.Info("exchange of loads", "service", service, "active", active, "serviceTime", a.mean)
+	}
+	a.work[priority] += serviceTime
+}
+
+// report returns the next report, whose message is nil while no service meets the condition.
+func (l *loads) report(now time.Time) pendingReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := pendingReport{
+		sentAt: now,
+		counts: make(map[uint32]int),
+	}
+	if l.reportedAt.IsZero() {
+		l.reportedAt = now.Add(-reportInterval)
+	}
+	m := aggregator.ReportMsg{
+		Host:    l.name,
+		Elapsed: now.Sub(l.reportedAt),
+		Known:   l.reader.Position(),
+	}
+	active := make(map[uint32]bool)
+	for name, a := range l.services {
+		if a.active {
+			m.Services = append(m.Services, a.message(name, m.Elapsed))
+			for id := range l.index(name) {
+				active[id] = true
+			}
+		}
+		clear(a.work)
+	}
+	l.reportedAt = now
+	if len(m.Services) == 0 {
+		l.reader = aggregator.Reader{}
+		return p
+	}
+	var observations []aggregator.Observation
+	for _, o := range l.selector.Observations(l.acknowledgedAt) {
+		id := aggregator.ID(o.Target)
+		if !active[id] {
+			continue
+		}
+		p.counts[id] = o.InFlight
+		observation := aggregator.Observation{
+			Target:   id,
+			InFlight: o.InFlight,
+		}
+		if o.ReceivedAt.After(l.acknowledgedAt) {
+			observation.Load = aggregator.Load{
+				Busy:     o.Load.Running + o.Load.Waiting,
+				Slots:    o.Load.Slots,
+				Slowness: o.Load.Slowness,
+				At:       o.ReceivedAt,
+			}
+		}
+		observations = append(observations, observation)
+	}
+	m.Targets = aggregator.EncodeReport(now, observations)
+	p.msg = &m
+	loadCounters.Add("reports", 1)
+	loadCounters.Add("bytesReported", int64(len(m.Targets)))
+	return p
+}
+
+func (a *arrivals) message(service string, elapsed time.Duration) aggregator.ServiceMsg {
+	m := aggregator.ServiceMsg{
+		Service: service,
+		Hosts:   1,
+	}
+	for priority, work := range a.work {
+		m.Demand = append(m.Demand, aggregator.DemandMsg{
+			Priority:  priority,
+			BusySlots: float32(work.Seconds() / max(elapsed, time.Millisecond).Seconds()),
+		})
+	}
+	return m
+}
+
+// index returns the incarnations of the targets of a service by their hashes.
+func (l *loads) index(service string) map[uint32]registrar.Incarnation {
+	p, ok := l.view().Pool(service)
+	if !ok {
+		return nil
+	}
+	pool := p.Registered()
+	if old, ok := l.targets[service]; ok && old.pool.Same(pool) {
+		return old.targets
+	}
+	x := &targetIndex{
+		pool:    pool,
+		targets: make(map[uint32]registrar.Incarnation, pool.Len()),
+	}
+	for _, t := range pool.All() {
+		x.targets[aggregator.ID(t.Incarnation)] = t.Incarnation
+	}
+	if l.targets == nil {
+		l.targets = make(map[string]*targetIndex)
+	}
+	l.targets[service] = x
+	return x.targets
+}
+
+// learn takes the answer to a report, nil if there was none or an old host answered.
+func (l *loads) learn(p pendingReport, m *aggregator.UpdateMsg) {
+	if p.msg == nil || m == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The answer counts as old as the report, which makes it look older than it is rather than newer.
+	if err := l.reader.Apply(p.sentAt, m); err != nil {
+		loadCounters.Add("malformed", 1)
+		l.log.Warn("answer with loads cannot be read", "err", err)
+		return
+	}
+	l.acknowledgedAt = p.sentAt
+	learned := l.learned(p)
+	l.selector.Learn(learned)
+	loadCounters.Add("answers", 1)
+	loadCounters.Add("bytesLearned", int64(len(m.Targets)))
+	loadCounters.Add("learned", int64(len(learned)))
+	loadCounters.Add("learnedAgeMs", m.Age.Milliseconds())
+	if p.sentAt.Sub(l.loggedAt) >= loadLogInterval {
+		l.loggedAt = p.sentAt
+		l.log.Info("loads learned", "targets", len(learned), "hosts", m.Hosts, "age", m.Age, "bytes", len(m.Targets),
+			"bytesReported", len(p.msg.Targets))
+	}
+}
+
+// learned returns what the reader knows of the targets of services that meet the condition.
+func (l *loads) learned(p pendingReport) []selector.Learned {
+	type member struct {
+		incarnation registrar.Incarnation
+		scale       float64
+	}
+	members := make(map[uint32]member)
+	v := l.view()
+	if v == nil {
+		return nil
+	}
+	for _, s := range l.reader.Services() {
+		if a, ok := l.services[s.Service]; !ok || !a.active {
+			continue
+		}
+		scale := hostScale(v.Hosts, s.Hosts)
+		for id, inc := range l.index(s.Service) {
+			members[id] = member{
+				incarnation: inc,
+				scale:       scale,
+			}
+		}
+	}
+	observedAt := p.sentAt.Add(-l.reader.Age(p.sentAt))
+	learned := make([]selector.Learned, 0, len(members))
+	for _, o := range l.reader.Observations() {
+		m, ok := members[o.Target]
+		if !ok {
+			continue
+		}
+		n := selector.Learned{
+			Target: m.incarnation,
+			Load: selector.Load{
+				Running:  o.Load.Busy,
+				Slots:    o.Load.Slots,
+				Slowness: o.Load.Slowness,
+			},
+			ReportedAt: o.Load.At,
+		}
+		if m.scale > 0 {
+			n.Others, n.OthersAt = m.scale*float64(max(0, o.InFlight-p.counts[o.Target])), observedAt
+		}
+		learned = append(learned, n)
+	}
+	return learned
+}
+
+// hostScale returns the factor from the requests of the other reporting hosts to those of all other hosts, zero if too few
+// report. Old builds do not report, and a host that changed its control host may be counted twice for two seconds.
+func hostScale(hosts, reporting int) float64 {
+	if hosts <= 1 || reporting == hosts {
+		return 1
+	}
+	if reporting <= 1 || float64(hosts-1) > maxScale*float64(reporting-1) {
+		return 0
+	}
+	return float64(hosts-1) / float64(reporting-1)
+}
+
+// earlyWait returns the time until the report that tells that a target became slow, false if no service meets the condition.
+func (l *loads) earlyWait(now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.services {
+		if a.active {
+			return max(0, earlyReportInterval-now.Sub(l.reportedAt)), true
+		}
+	}
+	return 0, false
+}
+
+// demand returns the arriving work of all hosts for a service by priority, and its age. It is false if that is not known.
+func (l *loads) demand(now time.Time, service string) (byPriority []aggregator.Demand, age time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	age = l.reader.Age(now)
+	if l.reader.ReceivedAt().IsZero() || age > maxDemandAge {
+		return nil, 0, false
+	}
+	for _, s := range l.reader.Services() {
+		if s.Service != service {
+			continue
+		}
+		for _, d := range s.Demand {
+			byPriority = append(byPriority, aggregator.Demand{
+				Priority:  d.Priority,
+				BusySlots: float64(d.BusySlots),
+			})
+		}
+		return byPriority, age, true
+	}
+	return nil, 0, false
+}
+
+// Demand is demand at the present time.
+func (l *loads) Demand(service string) (byPriority []aggregator.Demand, age time.Duration, ok bool) {
+	return l.demand(time.Now(), service)
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -162,6 +162,7 @@
 	}
 	x.header = stripper.EndToEnd(x.req.Header, x.f.opts.Codec.Own)
 	x.f.retryBudget(name).Deposit(x.f.opts.Limits.RetryShare)
+	x.recordArrival()
 	if x.service.Keyed && x.f.opts.Meter != nil {
 		x.f.opts.Meter.RecordDemand(name, x.call.Key, x.f.serviceTime(route.Name).expected())
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 	Stopping func() (Stop, bool)
 	// Meter receives the demand and the observed times of keyed services; it may be nil.
 	Meter Meter
+	// Arrivals receives the arriving work of all services; it may be nil.
+	Arrivals ArrivalMeter
 	// Limits bounds retries, requests to cold targets and requests to owners that are leaving.
 	Limits Limits
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -72,6 +72,8 @@
 	DataCentre string
 	// Random is the source of the draws, for tests; nil means the generator of math/rand/v2.
 	Random *rand.Rand
+	// Slow receives a value when a target reports that it has become slow, unless one is waiting there. It may be nil.
+	Slow chan struct{}
 
 	mu    sync.Mutex
 	stats map[registrar.Incarnation]*targetStats
@@ -94,6 +96,9 @@
 	lastUsedAt   time.Time
 	// coldRequests are the times of the latest requests that were sent while the target was cold.
 	coldRequests []time.Time
+	// learned is the load that other hosts observed, and begunAt holds the times of this host's requests in flight.
+	learned Learned
+	begunAt []time.Time
 }
 
 func (s *Selector) targetStats(inc registrar.Incarnation) *targetStats {
@@ -132,16 +137,18 @@
 	slots := max(1, t.Slots)
 	slowness := ratedSlowness(t)
 	busySlots := defaultUtilization * float64(slots)
-	if age := now.Sub(st.loadReceivedAt); age < loadMaxAge {
-		weight := 1 - float64(age)/float64(loadMaxAge)
-		if st.load.Slots > 0 {
-			slots = st.load.Slots
+	load, reportedAt := st.newestLoad()
+	if weight := freshness(now, reportedAt); weight > 0 {
+		if load.Slots > 0 {
+			slots = load.Slots
 		}
-		busySlots += weight * (float64(st.load.Running+st.load.Waiting) - busySlots)
-		if st.load.Slowness > 0 {
-			slowness += weight * (st.load.Slowness - slowness)
+		if load.Slowness > 0 {
+			slowness += weight * (load.Slowness - slowness)
 		}
 	}
+	if busy, at := st.newestBusy(now); freshness(now, at) > 0 {
+		busySlots += freshness(now, at) * (busy - busySlots)
+	}
 	busySlots = max(busySlots, float64(st.inFlight))
 	adjustedTime := float64(serviceTime) * st.observedSlowness * slowness
 	wait := max(0, busySlots+1-float64(slots)) / float64(slots) * adjustedTime
@@ -176,12 +183,13 @@
 			continue
 		}
 		st := s.targetStats(t.Incarnation)
-		score := float64(st.estimate(now, t, n.Work).Total) * (1 + failurePenalty*st.failureRate) * s.jitter()
+		e := st.estimate(now, t, n.Work)
+		score := float64(e.Total) * (1 + failurePenalty*st.failureRate) * s.jitter()
 		if now.Before(st.backoffUntil) {
 			backedOff.offer(t, score)
 			continue
 		}
-		capacity := float64(max(1, t.Slots)) / (ratedSlowness(t) * st.observedSlowness)
+		capacity := st.drawWeight(now, t, n.Work, e)
 		if t.DataCentre == s.DataCentre {
 			draw := s.expFloat64() / capacity
 			local.offer(t, score, draw)
@@ -280,6 +288,7 @@
 	defer s.mu.Unlock()
 	st := s.targetStats(inc)
 	st.inFlight++
+	st.begunAt = append(st.begunAt, now)
 	st.lastUsedAt = now
 }
 
@@ -302,7 +311,12 @@
 	defer s.mu.Unlock()
 	st := s.targetStats(inc)
 	st.inFlight--
+	// Which request ended is not known; at a target the oldest usually ends first.
+	if len(st.begunAt) > 0 {
+		st.begunAt = slices.Delete(st.begunAt, 0, 1)
+	}
 	if r.Load != nil {
+		s.signalSlow(now, st, r.Load)
 		st.load, st.loadReceivedAt = *r.Load, now
 	}
 	failed := 0.0
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -85,6 +85,14 @@
 	return p, ok
 }
 
+// Registered returns the registered targets of the service, with keys or without.
+func (p *Pool) Registered() registrar.Pool {
+	if p.snapshot == nil {
+		return registrar.Pool{}
+	}
+	return p.snapshot.registry.Pool(p.Service.Name)
+}
+
 // Owner returns the target that owns key, nil if there is none. releasing says that the key moves to another owner.
 func (p *Pool) Owner(key uint16) (t *Target, releasing bool) {
 	if p.snapshot == nil {
