--- a/aggregator/message.go
+++ b/aggregator/message.go
@@ -27,9 +27,8 @@
 
 // Load is a load that a target reported in an answer.
 type Load struct {
-	// Busy is the number of requests that run or wait, Slots the number of slots.
-	Busy  int
-	Slots int
+	// Busy is the number of requests that run or wait.
+	Busy int
 	// Slowness is the factor by which requests take longer than usual, zero if not reported.
 	Slowness float64
 	// At is the time of the answer, zero for no answer.
@@ -141,7 +140,6 @@
 
 func (l Load) append(b []byte, now time.Time) []byte {
 	b = appendCount(b, l.Busy)
-	b = appendCount(b, l.Slots)
 	slowness := 0.0
 	if l.Slowness > 0 {
 		slowness = min(math.MaxUint8, max(1, math.Round(l.Slowness/slownessUnit)))
@@ -194,8 +192,7 @@
 
 func (d *decoder) load(now time.Time) Load {
 	l := Load{
-		Busy:  d.count(),
-		Slots: d.count(),
+		Busy: d.count(),
 	}
 	b := d.take(2)
 	l.Slowness = float64(b[0]) * slownessUnit
--- a/director/loads.go
+++ b/director/loads.go
@@ -144,7 +144,6 @@
 		if o.ReceivedAt.After(l.acknowledgedAt) {
 			observation.Load = aggregator.Load{
 				Busy:     o.Load.Running + o.Load.Waiting,
-				Slots:    o.Load.Slots,
 				Slowness: o.Load.Slowness,
 				At:       o.ReceivedAt,
 			}
@@ -257,7 +256,6 @@
 			Target: m.incarnation,
 			Load: selector.Load{
 				Running:  o.Load.Busy,
-				Slots:    o.Load.Slots,
 				Slowness: o.Load.Slowness,
 			},
 			ReportedAt: o.Load.At,
