--- a/director/loads.go
+++ b/director/loads.go
@@ -23,8 +23,8 @@
 	serviceTimeWeight = 0.02
 	// maxDemandAge is the age from which demand counts as unknown.
 	maxDemandAge = 2 * time.Second
-	// maxScale bounds the factor by which loads are scaled up for hosts that do not report. If fewer report, counts are ignored.
-	maxScale = 2.0
+	// minReporting is the share of the hosts that have to report, so that sums over them are used. Old builds do not report.
+	minReporting = 0.5
 	// earlyReportInterval is the least time between two reports if the later one is early, as a target became slow.
 	earlyReportInterval = 150 * time.Millisecond
 	// loadLogInterval is the time between two log lines on learned loads.
@@ -115,13 +115,9 @@
 		Elapsed: now.Sub(l.reportedAt),
 		Known:   l.reader.Position(),
 	}
-	active := make(map[uint32]bool)
 	for name, a := range l.services {
 		if a.active {
 			m.Services = append(m.Services, a.message(name, m.Elapsed))
-			for id := range l.index(name) {
-				active[id] = true
-			}
 		}
 		clear(a.work)
 	}
@@ -130,10 +126,11 @@
 		l.reader = aggregator.Reader{}
 		return p
 	}
+	members := l.members(m.Services)
 	var observations []aggregator.Observation
 	for _, o := range l.selector.Observations(l.acknowledgedAt) {
 		id := aggregator.ID(o.Target)
-		if !active[id] {
+		if _, ok := members.find(id); !ok {
 			continue
 		}
 		p.counts[id] = o.InFlight
@@ -224,31 +221,16 @@
 
 // learned returns what the reader knows of the targets of services that meet the condition.
 func (l *loads) learned(p pendingReport) []selector.Learned {
-	type member struct {
-		incarnation registrar.Incarnation
-		scale       float64
-	}
-	members := make(map[uint32]member)
-	v := l.view()
-	if v == nil {
-		return nil
-	}
-	for _, s := range l.reader.Services() {
-		if a, ok := l.services[s.Service]; !ok || !a.active {
-			continue
-		}
-		scale := hostScale(v.Hosts, s.Hosts)
-		for id, inc := range l.index(s.Service) {
-			members[id] = member{
-				incarnation: inc,
-				scale:       scale,
-			}
+	members := l.members(l.reader.Services())
+	for _, list := range members {
+		if list.scale == 0 {
+			loadCounters.Add("ignoredSums", 1)
 		}
 	}
 	observedAt := p.sentAt.Add(-l.reader.Age(p.sentAt))
-	learned := make([]selector.Learned, 0, len(members))
+	learned := make([]selector.Learned, 0, len(l.reader.Observations()))
 	for _, o := range l.reader.Observations() {
-		m, ok := members[o.Target]
+		m, ok := members.find(o.Target)
 		if !ok {
 			continue
 		}
@@ -268,16 +250,61 @@
 	return learned
 }
 
-// hostScale returns the factor from the requests of the other reporting hosts to those of all other hosts, zero if too few
-// report. Old builds do not report, and a host that changed its control host may be counted twice for two seconds.
-func hostScale(hosts, reporting int) float64 {
-	if hosts <= 1 || reporting == hosts {
-		return 1
+// memberLists are the targets of the services that meet the condition.
+type memberLists []memberList
+
+type memberList struct {
+	targets map[uint32]registrar.Incarnation
+	// scale is what hostScale returns.
+	scale float64
+}
+
+type member struct {
+	incarnation registrar.Incarnation
+	scale       float64
+}
+
+// members returns the targets of those of services that meet the condition.
+func (l *loads) members(services []aggregator.ServiceMsg) memberLists {
+	v := l.view()
+	if v == nil {
+		return nil
 	}
-	if reporting <= 1 || float64(hosts-1) > maxScale*float64(reporting-1) {
+	var lists memberLists
+	for _, s := range services {
+		if a, ok := l.services[s.Service]; ok && a.active {
+			lists = append(lists, memberList{
+				targets: l.index(s.Service),
+				scale:   hostScale(v.Hosts, s.Hosts),
+			})
+		}
+	}
+	return lists
+}
+
+func (m memberLists) find(id uint32) (member, bool) {
+	for _, list := range m {
+		if inc, ok := list.targets[id]; ok {
+			return member{
+				incarnation: inc,
+				scale:       list.scale,
+			}, true
+		}
+	}
+	return member{}, false
+}
+
+// hostScale returns the factor for sums over the reporting hosts, zero if fewer than minReporting of all hosts report. A host
+// that changed its control host may be counted twice for two seconds. Sums of too few hosts are not scaled up: registered hosts
+// may have ended for good, and loads that look too high would refuse requests.
+func hostScale(hosts, reporting int) float64 {
+	switch {
+	case float64(reporting) < minReporting*float64(hosts):
 		return 0
+	case reporting > hosts:
+		return float64(hosts) / float64(reporting)
 	}
-	return float64(hosts-1) / float64(reporting-1)
+	return 1
 }
 
 // earlyWait returns the time until the report that tells that a target became slow, false if no service meets the condition.
@@ -297,17 +324,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	age = l.reader.Age(now)
-	if l.reader.ReceivedAt().IsZero() || age > maxDemandAge {
+	v := l.view()
+	if v == nil || l.reader.ReceivedAt().IsZero() || age > maxDemandAge {
 		return nil, 0, false
 	}
 	for _, s := range l.reader.Services() {
-		if s.Service != service {
+		scale := hostScale(v.Hosts, s.Hosts)
+		if s.Service != service || scale == 0 {
 			continue
 		}
 		for _, d := range s.Demand {
 			byPriority = append(byPriority, aggregator.Demand{
 				Priority:  d.Priority,
-				BusySlots: float64(d.BusySlots),
+				BusySlots: scale * float64(d.BusySlots),
 			})
 		}
 		return byPriority, age, true
