--- a/director/loads.go
+++ b/director/loads.go
@@ -115,7 +115,14 @@
 		Elapsed: now.Sub(l.reportedAt),
 		Known:   l.reader.Position(),
 	}
+	v := l.view()
 	for name, a := range l.services {
+		if _, ok := v.Pool(name); !ok {
+			// The service is no longer in the traffic table.
+			delete(l.services, name)
+			delete(l.targets, name)
+			continue
+		}
 		if a.active {
 			m.Services = append(m.Services, a.message(name, m.Elapsed))
 		}
