Schedule the link of an entry host

Short messages wait behind uploads on links of 2.2 Mbit/s. Long bodies are now written in paced pieces, received a few at a time through small buffers, and refused at their header when the link cannot carry them in time. This takes effect only where the settings have link and the table has uploads.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -19,6 +19,7 @@
 
 	"bramleyline.example/bramleyline/matcher"
 	"bramleyline.example/bramleyline/reserver"
+	"bramleyline.example/bramleyline/shaper"
 )
 
 const (
@@ -82,10 +83,16 @@
 	Limits func() matcher.Limits
 	// Memory bounds the bodies of all requests together; nil means no bound. A request whose body does not fit is refused.
 	Memory *reserver.Reserver
+	// Link schedules long bodies and accounts for answers; nil means that bodies are read as they arrive.
+	Link *shaper.Shaper
+	// Allowance returns the time that a request has, by its HTTP host, path and header; nil means no bound. Link refuses bodies by it.
+	Allowance func(host, path string, h http.Header) shaper.Allowance
 
 	ln net.Listener
 	// draining is true if connections end after their last pending answer.
 	draining atomic.Bool
+	// smallBuffers is true if ln passes small receive buffers on to its connections.
+	smallBuffers bool
 	// finishing is true if connections also end when nothing arrives on them within shutdownGrace.
 	finishing atomic.Bool
 	mu        sync.Mutex
@@ -183,6 +190,7 @@
 			continue
 		}
 		counters.Add("connections", 1)
+		a.limitBuffers(raw)
 		go c.serve()
 	}
 }
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -7,13 +7,13 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/shaper"
 )
 
 const (
@@ -49,6 +49,8 @@
 	cancel          context.CancelFunc
 	// sem bounds the requests that are being read or answered to maxPipelined.
 	sem chan struct{}
+	// reception is the long body that is being read, nil if there is none.
+	reception *shaper.Reception
 
 	mu sync.Mutex
 	// pending is the number of requests that were read and are not yet answered.
@@ -76,6 +78,9 @@
 	if c.headerRemaining == 0 {
 		return 0, errHeaderTooLong
 	}
+	if c.reception != nil {
+		return c.readPaced(b)
+	}
 	if c.headerRemaining > 0 && len(b) > c.headerRemaining {
 		b = b[:c.headerRemaining]
 	}
@@ -126,6 +131,11 @@
 	if err := c.checkBody(req, limits.BodyBytes); err != nil {
 		return nil, err
 	}
+	if err := c.beginBody(req, arrived); err != nil {
+		c.endBody()
+		return nil, err
+	}
+	defer c.endBody()
 	if req.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
@@ -200,7 +210,7 @@
 		c.mu.Unlock()
 		return
 	}
-	last := a.Abort || c.acceptor.draining.Load() && c.pending == 1 && !c.parsing
+	last := a.Abort || c.pending == 1 && !c.parsing && (c.acceptor.draining.Load() || c.acceptor.Link.Shed())
 	c.ending = last
 	c.mu.Unlock()
 	if a.Abort {
@@ -208,7 +218,9 @@
 		return
 	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.raw.Write(appendAnswer(nil, a, r.Method, last))
+	text := appendAnswer(nil, a, r.Method, last)
+	c.acceptor.Link.Written(shaper.Short, len(text))
+	_, err := c.raw.Write(text)
 	if err != nil {
 		counters.Add("failedWrites", 1)
 		c.abort()
@@ -265,6 +277,7 @@
 	status := 0
 	var header http.Header
 	var netErr net.Error
+	var refused *refusedError
 	switch {
 	case errors.Is(err, errHeaderTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
@@ -272,9 +285,10 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errNoMemory):
 		status = http.StatusServiceUnavailable
-		header = http.Header{
-			"Retry-After": {strconv.FormatFloat((retryAfterNoMemory + rand.N(retryAfterNoMemory)).Seconds(), 'f', 2, 64)},
-		}
+		header = retryAfterHeader(retryAfterNoMemory + rand.N(retryAfterNoMemory))
+	case errors.As(err, &refused):
+		status = http.StatusServiceUnavailable
+		header = retryAfterHeader(refused.retryAfter)
 	case errors.As(err, &netErr) && netErr.Timeout():
 		if parsing {
 			status = http.StatusRequestTimeout
--- /dev/null
+++ b/acceptor/link.go
@@ -0,0 +1,124 @@
+package acceptor
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/shaper"
+)
+
+// maxRead is the most bytes of a long body that are read at a time: the receive buffer holds about as many.
+const maxRead = shaper.ReadBuffer
+
+// refusedError is the error of a body that the link has no room for.
+type refusedError struct {
+	retryAfter time.Duration
+}
+
+func (e *refusedError) Error() string {
+	return "the link has no room for the body"
+}
+
+// limitBuffers sets a small receive buffer on a connection and on the listener, whose next connections inherit it, so that callers
+// cannot fill the link with bodies that are not read yet.
+func (a *Acceptor) limitBuffers(raw net.Conn) {
+	if !a.Link.Active() {
+		return
+	}
+	if t, ok := raw.(*net.TCPConn); ok {
+		_ = t.SetReadBuffer(shaper.ReadBuffer)
+	}
+	ln, ok := a.ln.(syscall.Conn)
+	if !ok || a.smallBuffers {
+		return
+	}
+	a.smallBuffers = true
+	if c, err := ln.SyscallConn(); err == nil {
+		_ = c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, shaper.ReadBuffer)
+		})
+	}
+}
+
+// beginBody asks the link for the body of a request. Until endBody, the body is read when it has its turn. The error says that it is
+// not to be read.
+func (c *conn) beginBody(req *http.Request, arrived time.Time) error {
+	a := c.acceptor
+	if !a.Link.Active() || req.ContentLength >= 0 && req.ContentLength <= shaper.LongBody {
+		return nil
+	}
+	var allowance shaper.Allowance
+	if a.Allowance != nil {
+		allowance = a.Allowance(req.Host, req.URL.Path, req.Header)
+	}
+	size := req.ContentLength
+	if size > 0 {
+		size = max(0, size-int64(c.br.Buffered()))
+	}
+	reception, refusal := a.Link.Receive(arrived, size, allowance)
+	if refusal != nil {
+		return &refusedError{
+			retryAfter: refusal.RetryAfter,
+		}
+	}
+	c.reception = reception
+	if reception != nil && req.Header.Get("Expect") == "100-continue" {
+		// The caller sends nothing before the body has its turn.
+		_, err := c.awaitTurn()
+		return err
+	}
+	return nil
+}
+
+// endBody ends what beginBody began.
+func (c *conn) endBody() {
+	if c.reception != nil {
+		c.reception.End()
+		c.reception = nil
+		_ = c.raw.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *conn) awaitTurn() (time.Time, error) {
+	limit, err := c.reception.Wait(c.ctx)
+	if errors.Is(err, shaper.ErrLate) {
+		return limit, &refusedError{
+			retryAfter: retryAfterNoMemory + rand.N(retryAfterNoMemory),
+		}
+	}
+	if errors.Is(err, context.Canceled) {
+		return limit, net.ErrClosed
+	}
+	return limit, err
+}
+
+// readPaced reads from the connection when the body has its turn.
+func (c *conn) readPaced(b []byte) (int, error) {
+	b = b[:min(len(b), maxRead)]
+	for {
+		limit, err := c.awaitTurn()
+		if err != nil {
+			return 0, err
+		}
+		_ = c.raw.SetReadDeadline(limit)
+		n, err := c.raw.Read(b)
+		c.reception.Read(n)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
+func retryAfterHeader(d time.Duration) http.Header {
+	return http.Header{
+		"Retry-After": {strconv.FormatFloat(d.Seconds(), 'f', 2, 64)},
+	}
+}
--- a/director/director.go
+++ b/director/director.go
@@ -30,6 +30,7 @@
 	"bramleyline.example/bramleyline/puller"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/settingsreader"
+	"bramleyline.example/bramleyline/shaper"
 )
 
 const (
@@ -90,6 +91,8 @@
 	entry      *entry
 	control    *control
 	metrics    *http.Server
+	// link schedules what this host sends and receives on its link; it is nil if that needs no scheduling.
+	link *shaper.Shaper
 
 	stopping atomic.Bool
 	stopOnce sync.Once
@@ -148,6 +151,11 @@
 	d.rpc = &messenger.Listener{
 		Key: key,
 	}
+	if s.Roles.Entry {
+		if d.link = shaper.New(s.Direct.Link, d.log); d.link != nil {
+			d.messenger.Written = func(n int) { d.link.Written(shaper.Control, n) }
+		}
+	}
 	d.proposer = &proposer.Proposer{
 		Messenger: d.messenger,
 		Hosts:     d.controlHosts,
--- a/director/entry.go
+++ b/director/entry.go
@@ -112,7 +112,7 @@
 		},
 		changed: make(chan struct{}),
 	}
-	e.sender = sender.New(d.dialTarget, sender.WithMemory(&e.memory.answers))
+	e.sender = sender.New(d.dialTarget, sender.WithMemory(&e.memory.answers), sender.WithLink(d.link))
 	e.limiter = limiter.New(limiter.Options{
 		View: func() *viewer.View {
 			v, _ := e.currentView()
@@ -140,6 +140,7 @@
 		Links:       e.links.detector,
 		Relay:       e.links.relayer.Relay,
 		Stopping:    e.stopping,
+		Link:        d.link,
 		Limits: forwarder.Limits{
 			RetryShare: retrySafety * s.Direct.RetryShare,
 			RetrySlack: retrySafety * s.Direct.RetrySlack,
@@ -151,9 +152,11 @@
 		},
 	})
 	e.acceptor = &acceptor.Acceptor{
-		Handler: f,
-		Limits:  e.currentLimits,
-		Memory:  &e.memory.bodies,
+		Handler:   f,
+		Limits:    e.currentLimits,
+		Memory:    &e.memory.bodies,
+		Link:      d.link,
+		Allowance: f.Allowance,
 	}
 	e.links.handler = f.HandleRelayed
 	caller, err := net.Listen("tcp", s.Listen.Caller.String())
@@ -260,6 +263,7 @@
 	}
 	if v.Table != nil && (old == nil || old.Table == nil || old.Table.Version != v.Table.Version) {
 		e.limits.Store(&v.Table.Limits)
+		e.d.link.SetActive(v.Table.HasUploads())
 		e.d.log.Info("table in force", "version", v.Table.Version, "routes", len(v.Table.Routes), "index", v.Index)
 	}
 	e.mu.Lock()
--- a/director/links.go
+++ b/director/links.go
@@ -52,7 +52,7 @@
 	s := e.d.settings
 	l := &entryLinks{
 		entry:  e,
-		sender: sender.New(nil, sender.WithMemory(&e.memory.answers)),
+		sender: sender.New(nil, sender.WithMemory(&e.memory.answers), sender.WithLink(e.d.link)),
 	}
 	sign := signer.New(s.Keys.System)
 	l.relayer = relayer.New(relayer.Options{
@@ -78,6 +78,7 @@
 		},
 		Limits: l.limits,
 		Memory: &e.memory.bodies,
+		Link:   e.d.link,
 	}
 	return l
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,6 +30,8 @@
 	idle := sel.Estimate(start, t, res.Work).Wait == 0
 	sel.Begin(start, t.Incarnation)
 	defer func() { sel.End(time.Now(), t.Incarnation, res) }()
+	x.enter(t)
+	defer x.leave()
 
 	tracked := x.trackAttempt(t, start)
 	if l := x.f.opts.Links; l != nil {
@@ -41,6 +43,7 @@
 	}
 	if fault != nil {
 		tracked.failed(fault)
+		x.observeUploadFault(t, fault)
 		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
 		return nil, x.noAnswer(t, fault)
 	}
@@ -60,7 +63,7 @@
 		res.Failed = !reply.Misdirected
 		return nil, x.rejected(ctx, t, reply)
 	}
-	took := time.Since(start)
+	took := time.Since(start) - resp.LinkWait
 	if resp.Status >= http.StatusInternalServerError {
 		res.Failed = true
 		x.possibleRuns++
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -111,6 +111,8 @@
 	staleAttempts int
 	// retryAfter is the Retry-After delay for the caller if the last attempt was rejected.
 	retryAfter time.Duration
+	// place is the place of an upload at its target, nil if it has none.
+	place *uploadPlace
 }
 
 func (x *exchange) run(ctx context.Context) *acceptor.Answer {
@@ -134,14 +136,7 @@
 		x.lastErr = err.Error()
 		return x.fail(http.StatusBadRequest, reasonBadRequest)
 	}
-	timeout := route.Timeout
-	if t := x.call.CallerTimeout; t > 0 && (timeout == 0 || t < timeout) {
-		timeout = t
-	}
-	if timeout == 0 {
-		timeout = matcher.MaxTimeout
-	}
-	x.deadline = x.req.Arrived.Add(timeout)
+	x.deadline = x.req.Arrived.Add(timeout(route, x.call))
 	name := x.f.chooseService(route)
 	pool, ok := v.Pool(name)
 	if !ok {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"bramleyline.example/bramleyline/retrier"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/shaper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -56,6 +57,8 @@
 	Relay func(ctx context.Context, r *acceptor.Request, deadline time.Time) (*acceptor.Answer, *sender.Fault)
 	// Stopping describes the planned stop of this host, and reports whether one is in progress. It may be nil.
 	Stopping func() (Stop, bool)
+	// Link schedules the host's link; nil, or one that is not active, means that uploads are sent like other requests.
+	Link *shaper.Shaper
 	// Meter receives the demand and the observed times of keyed services; it may be nil.
 	Meter Meter
 	// Limits bounds retries, requests to cold targets and requests to owners that are leaving.
@@ -98,6 +101,7 @@
 	retryBudgets  sync.Map // service to *retrier.Budget
 	serviceTimes  sync.Map // route to *serviceTimeEstimate
 	splits        sync.Map // route to *weightedRoundRobin
+	uploads       uploads
 }
 
 // serviceTimeEstimate is the expected service time of the requests of one route, an exponentially weighted moving
@@ -121,6 +125,7 @@
 		req: r,
 	}
 	defer x.release()
+	defer x.leave()
 	return x.run(ctx)
 }
 
@@ -132,6 +137,7 @@
 		relayed: true,
 	}
 	defer x.release()
+	defer x.leave()
 	return x.run(ctx)
 }
 
--- a/forwarder/owner.go
+++ b/forwarder/owner.go
@@ -26,6 +26,9 @@
 		Work:      x.f.serviceTime(x.route.Name).expected(),
 		Objective: x.route.Objective - now.Sub(x.req.Arrived),
 	}
+	if t := x.uploadTarget(ctx, now, v, pool, need); t != nil {
+		return t, nil
+	}
 	excluded, reason, retryAfter := x.tried, reasonNoTarget, retryAfterNoTarget
 	for t := x.f.opts.Selector.Choose(now, pool, need, excluded); t != nil; {
 		if e := x.f.opts.Selector.Estimate(now, t, need.Work); e.Wait >= x.deadline.Sub(now) {
@@ -159,7 +162,7 @@
 	if refusal := x.f.opts.Limiter.Take(ctx, t, r); refusal != nil {
 		return x.giveUp(reasonLimited, refusal.RetryAfter)
 	}
-	return nil
+	return x.awaitUploadPlace(ctx, now, t)
 }
 
 // awaitView waits until changed is closed, that is until there is a newer view. It returns false if the timeout passes
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -109,6 +109,11 @@
 	return r.Priority <= t.topPriority[service]
 }
 
+// HasUploads reports whether the requests of a route carry large bodies.
+func (t *Table) HasUploads() bool {
+	return slices.ContainsFunc(t.Routes, func(r Route) bool { return r.Upload })
+}
+
 // Match returns the route of host with the longest prefix that path has.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[hostName(host)] {
--- a/messenger/conn.go
+++ b/messenger/conn.go
@@ -10,6 +10,8 @@
 type watchedConn struct {
 	net.Conn
 
+	// written is called after each write; it may be nil.
+	written func(n int)
 	// lastReadAt is the time of the last read that returned data, or else of the start, in nanoseconds since 1970.
 	lastReadAt atomic.Int64
 }
@@ -40,5 +42,8 @@
 	_ = c.SetWriteDeadline(time.Now().Add(idleTimeout))
 	n, err := c.Conn.Write(b)
 	counters.Add("bytesWritten", int64(n))
+	if c.written != nil {
+		c.written(n)
+	}
 	return n, err
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -51,6 +51,8 @@
 	TLS *tls.Config
 	// Dial opens the connections; nil means a plain net.Dialer. Tests and hosts behind address translation set it.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Written is called with the number of bytes after each write to a connection; it may be nil.
+	Written func(n int)
 
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link
@@ -240,5 +242,7 @@
 		return nil, errors.Wrapf(err, "%s", addr)
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return newWatchedConn(conn), nil
+	watched := newWatchedConn(conn)
+	watched.written = m.Written
+	return watched, nil
 }
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/reserver"
+	"bramleyline.example/bramleyline/shaper"
 )
 
 // maxInlineBody is the size, in bytes, of the largest body that is appended to the header and written in the same call.
@@ -27,6 +28,10 @@
 	// stop ends the watch for a cancellation of ctx. It returns false if the cancellation has already begun to act on the
 	// connection.
 	stop func() bool
+	// link paces long bodies, nil if nothing does.
+	link *shaper.Shaper
+	// waited is the time that the body has waited for the link.
+	waited time.Duration
 }
 
 // run writes the request and reads the answer up to the end of its header.
@@ -47,6 +52,14 @@
 		body = nil
 	}
 	c.buf = head
+	flow := a.link.Send(int64(sizeOf(body)))
+	defer flow.End()
+	first, err := a.firstPiece(flow, body)
+	if err != nil {
+		f := a.fault(err, "nothing was written")
+		f.MayHaveRun = false
+		return nil, f
+	}
 	if r.Check != nil {
 		if err := r.Check(); err != nil {
 			a.end(true)
@@ -57,7 +70,13 @@
 			return nil, NewFault(ReasonStaleRoute, http.StatusServiceUnavailable, err)
 		}
 	}
-	if err := c.send(head, body); err != nil {
+	if flow == nil {
+		a.link.Written(shaper.Short, len(head)+sizeOf(body))
+		err = c.send(head, body)
+	} else {
+		err = a.sendPaced(flow, head, body, first)
+	}
+	if err != nil {
 		if c.written == 0 {
 			f := a.fault(err, "nothing was written")
 			f.MayHaveRun = false
@@ -68,6 +87,7 @@
 			return nil, a.fault(err, "request was written in part")
 		}
 	}
+	flow.End()
 	return a.receive()
 }
 
@@ -124,6 +144,7 @@
 		small:    c.pool.small,
 
 		Connection: c.number,
+		LinkWait:   a.waited,
 
 		reserved: reserved,
 	}, nil
@@ -226,6 +247,8 @@
 	Length int64
 	// Connection is the number of the connection, for Request.Connection.
 	Connection uint64
+	// LinkWait is the part of the time of the attempt in which the body waited for this host's link.
+	LinkWait time.Duration
 	// Echoed is true if the answer repeats the identity of the request.
 	Echoed bool
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/reserver"
+	"bramleyline.example/bramleyline/shaper"
 )
 
 // dialTimeout bounds the opening of a connection, which costs about 1 ms besides the network latency of 1.5 ms one way.
@@ -79,11 +80,7 @@
 
 // bodySize returns the number of bytes of the body.
 func (r *Request) bodySize() int {
-	n := 0
-	for _, part := range r.Body {
-		n += len(part)
-	}
-	return n
+	return sizeOf(r.Body)
 }
 
 // defaultEchoHeader is the header in which an answer repeats the identity of its request.
@@ -101,6 +98,7 @@
 	dial      DialFunc
 	memory    *reserver.Reserver
 	small     reserver.Reserver
+	link      *shaper.Shaper
 	pools     sync.Map // netip.AddrPort to *pool
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -119,6 +117,11 @@
 	return func(s *Sender) { s.memory = m }
 }
 
+// WithLink makes the bodies of more than shaper.LongBody bytes wait for the link, in pieces. The default is not to wait.
+func WithLink(l *shaper.Shaper) Option {
+	return func(s *Sender) { s.link = l }
+}
+
 // New returns a Sender without connections. If dial is nil, a zero net.Dialer is used.
 func New(dial DialFunc, opts ...Option) *Sender {
 	if dial == nil {
@@ -178,6 +181,7 @@
 		conn: c,
 		req:  r,
 		ctx:  ctx,
+		link: s.link,
 	}
 	return a.run()
 }
--- a/settingsreader/direct.go
+++ b/settingsreader/direct.go
@@ -45,6 +45,8 @@
 	HostLosses int
 	// Memory is the memory limit of the process in bytes; zero means no limit.
 	Memory int64
+	// Link is the capacity of the host's network link in each direction, in Mbit/s; zero means that it is not known.
+	Link float64
 	// Hold is the longest time for which a lease of keys may be granted.
 	Hold time.Duration
 	// DrainTime is the time after the acknowledgement of a drain in which the target may still get requests, OutTime the
@@ -69,7 +71,7 @@
 		"listen": {"caller", "ready", "control", "rpc", "peer", "metrics"},
 		"direct": {
 			"seeds", "found", "hostLosses", "hold", "drainTime", "outTime", "grace", "retryShare", "retrySlack",
-			"coldFactor", "coldSlack", "region", "regions",
+			"coldFactor", "coldSlack", "region", "regions", "link",
 		},
 		"keys":    {"system", "systemFile"},
 		"network": {"translation"},
@@ -100,6 +102,7 @@
 		Bootstrap:  r.readChoice("direct", "found", "false", "true", "false") == "true",
 		HostLosses: r.readCount("direct", "hostLosses", 1),
 		Memory:     int64(r.readNumber("host", "memory", 0) * (1 << 20)),
+		Link:       r.readNumber("direct", "link", 0),
 		Hold:       r.readDuration("hold", defaultHold),
 		DrainTime:  r.readDuration("drainTime", defaultDrainTime),
 		OutTime:    r.readDuration("outTime", defaultOutTime),
--- /dev/null
+++ b/shaper/reception.go
@@ -0,0 +1,155 @@
+package shaper
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrLate says that the deadline of a request passed before its body was received.
+var ErrLate = errors.New("body was not received before the deadline of its request")
+
+// Reception is a long body that is being received. Its methods other than End are called by one goroutine.
+type Reception struct {
+	transfer
+	shaper *Shaper
+	// until is the deadline of the request, zero for none.
+	until time.Time
+	// unsized says that the length of the body is not known.
+	unsized bool
+	phase   phase
+	// windowBytes is what was read since windowAt.
+	windowAt    time.Time
+	windowBytes int
+	// ready is signalled when the body gets a turn.
+	ready  chan struct{}
+	waited time.Duration
+}
+
+// Receive decides on a body of which size bytes are still to be read, -1 if that is not known, and whose request arrived at arrived. It
+// returns nil for both if the body is not shaped. The caller must call End.
+func (s *Shaper) Receive(arrived time.Time, size int64, a Allowance) (*Reception, *Refusal) {
+	if !s.Active() || size >= 0 && size <= LongBody {
+		return nil, nil
+	}
+	r := &Reception{
+		shaper:  s,
+		unsized: size < 0,
+		ready:   make(chan struct{}, 1),
+	}
+	if r.unsized {
+		size = unknownSize
+	}
+	if a.Deadline > 0 {
+		r.until = arrived.Add(a.Deadline)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	expected, refusal := s.admit(now, arrived, size, a)
+	if refusal != nil {
+		counters.Add("refused."+refusal.Reason, 1)
+		if s.log != nil {
+			s.log.Info("upload refused", "reason", refusal.Reason, "bytes", size, "expectedMs", expected.Milliseconds(),
+				"objective", a.Objective.Milliseconds(), "deadline", a.Deadline.Milliseconds(),
+				"backlogMs", s.backlog(now).Milliseconds(), "retryAfterMs", refusal.RetryAfter.Milliseconds())
+		}
+		return nil, refusal
+	}
+	r.transfer = transfer{
+		remaining: size,
+		began:     now,
+	}
+	s.in.receptions = append(s.in.receptions, r)
+	s.observe(now)
+	s.startTurns(now)
+	counters.Add("bodies", 1)
+	return r, nil
+}
+
+// startTurns wakes the bodies that get a turn. The caller holds the lock.
+func (s *Shaper) startTurns(now time.Time) {
+	for _, r := range s.in.next(now) {
+		select {
+		case r.ready <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Wait waits for the turn of the body, and returns until when its socket may be read before Read is called; the zero time is no
+// bound. The error is ErrLate after the deadline of the request, or that of ctx.
+func (r *Reception) Wait(ctx context.Context) (time.Time, error) {
+	s := r.shaper
+	for {
+		now := time.Now()
+		if !r.until.IsZero() && !now.Before(r.until) {
+			counters.Add("refused."+reasonWaiting, 1)
+			return time.Time{}, ErrLate
+		}
+		s.mu.Lock()
+		current, windowAt := r.phase, r.windowAt
+		s.mu.Unlock()
+		switch current {
+		case phaseTurn:
+			if limit := windowAt.Add(turnWindow); r.until.IsZero() || limit.Before(r.until) {
+				return limit, nil
+			}
+			return r.until, nil
+		case phaseSlow, phaseEnded:
+			return r.until, nil
+		}
+		if err := r.await(ctx, now); err != nil {
+			return time.Time{}, err
+		}
+	}
+}
+
+// await waits until the body gets a turn, or until its deadline.
+func (r *Reception) await(ctx context.Context, now time.Time) error {
+	var expired <-chan time.Time
+	if !r.until.IsZero() {
+		timer := time.NewTimer(r.until.Sub(now))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	defer func() { r.waited += time.Since(now) }()
+	select {
+	case <-r.ready:
+	case <-expired:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// Read records that n bytes were read, zero if none arrived in time.
+func (r *Reception) Read(n int) {
+	s := r.shaper
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.in.read(now, r, n) {
+		return
+	}
+	if r.phase == phaseSlow {
+		counters.Add("slowCallers", 1)
+	}
+	s.startTurns(now)
+}
+
+// End ends the body, whether it is complete or not.
+func (r *Reception) End() {
+	if r == nil {
+		return
+	}
+	s := r.shaper
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.in.remove(r)
+	s.startTurns(now)
+	s.observe(now)
+	counters.Add("bodiesWaitedMs", r.waited.Milliseconds())
+}
