--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -51,6 +51,8 @@
 	sem chan struct{}
 	// reception is the long body that is being read, nil if there is none.
 	reception *shaper.Reception
+	// lowWater is the low-water mark of the socket in bytes, zero if it was never set.
+	lowWater int
 
 	mu sync.Mutex
 	// pending is the number of requests that were read and are not yet answered.
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -18,6 +18,10 @@
 // maxRead is the most bytes of a long body that are read at a time: the receive buffer holds about as many.
 const maxRead = shaper.ReadBuffer
 
+// minRead is how many bytes of a long body must have arrived before the process is woken, unless fewer are left: on a narrow link each
+// segment would wake it otherwise.
+const minRead = 8 << 10
+
 // refusedError is the error of a body that the link has no room for.
 type refusedError struct {
 	retryAfter time.Duration
@@ -83,6 +87,7 @@
 	if c.reception != nil {
 		c.reception.End()
 		c.reception = nil
+		c.setLowWater(1)
 		_ = c.raw.SetReadDeadline(time.Time{})
 	}
 }
@@ -108,6 +113,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if remaining, ok := c.reception.Remaining(); ok {
+			c.setLowWater(int(max(1, min(minRead, remaining))))
+		}
 		_ = c.raw.SetReadDeadline(limit)
 		n, err := c.raw.Read(b)
 		c.reception.Read(n)
@@ -117,6 +125,23 @@
 	}
 }
 
+// setLowWater sets how many bytes must have arrived to end a wait for them. What has arrived is read at once.
+func (c *conn) setLowWater(n int) {
+	if n == c.lowWater || n == 1 && c.lowWater == 0 {
+		return
+	}
+	c.lowWater = n
+	raw, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if rc, err := raw.SyscallConn(); err == nil {
+		_ = rc.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVLOWAT, n)
+		})
+	}
+}
+
 func retryAfterHeader(d time.Duration) http.Header {
 	return http.Header{
 		"Retry-After": {strconv.FormatFloat(d.Seconds(), 'f', 2, 64)},
--- /dev/null
+++ b/forwarder/upload_test.go
@@ -0,0 +1,129 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/shaper"
+)
+
+// uploadFixture returns a fixture whose routes are all uploads, with a narrow link.
+func uploadFixture(c *qt.C) *fixture {
+	b := newFixture(c)
+	for i := range b.table.Routes {
+		b.table.Routes[i].Upload = true
+	}
+	b.f.opts.Link = shaper.New(2.2, nil)
+	b.f.opts.Link.SetActive(b.table.HasUploads())
+	b.putTable()
+	return b
+}
+
+// peakHandler returns a handler that takes a while and records the greatest number of requests at the same time.
+func peakHandler(running, peak *atomic.Int32) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		n := running.Add(1)
+		defer running.Add(-1)
+		if n > peak.Load() {
+			peak.Store(n)
+		}
+		time.Sleep(50 * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func sendAll(c *qt.C, b *fixture, n int, path string, header ...string) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			c.Check(b.send(context.Background(), "POST", path, header...).Status, qt.Equals, http.StatusNoContent)
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against two uploads of this host at one target while another target is free, and against uploads that are refused because
+// all have one.
+func TestUploadsGoToTargetsWithoutOne(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var running, peak [3]atomic.Int32
+	for i, id := range []string{"desk-1", "desk-2", "desk-3"} {
+		b.target(id, "desk", peakHandler(&running[i], &peak[i]))
+	}
+	sendAll(c, b, 3, "/order/1")
+	for i := range peak {
+		c.Check(peak[i].Load(), qt.Equals, int32(1))
+	}
+	sendAll(c, b, 6, "/order/1")
+	c.Assert(b.f.uploads.current, qt.HasLen, 0)
+}
+
+// Guards against more than one upload of this host at a keyed target, and against one that waits longer than it may.
+func TestUploadsToAnOwnerFollowEachOther(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var running, peak atomic.Int32
+	b.target("tally-1", "tally", peakHandler(&running, &peak))
+	b.own("tally", "tally-1")
+	sendAll(c, b, 3, "/tally/1", testKey, "7")
+	c.Assert(peak.Load(), qt.Equals, int32(1))
+	place, _ := b.f.uploads.enter(registrar.Incarnation{
+		ID: "tally-1",
+	}, false)
+	began := time.Now()
+	a := b.send(context.Background(), "POST", "/tally/1", testKey, "7")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(time.Since(began) < 400*time.Millisecond, qt.IsTrue)
+	b.f.uploads.leave(place)
+	c.Assert(b.f.uploads.current, qt.HasLen, 0)
+}
+
+// Guards against further uploads to a target that ended with one, and against a target that is avoided for ever.
+func TestTargetThatEndedWithAnUploadIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var lost, served atomic.Int32
+	b.target("desk-1", "desk", hangUp(&lost))
+	c.Assert(b.send(context.Background(), "POST", "/order/1").Status, qt.Equals, http.StatusBadGateway)
+	b.target("desk-2", "desk", answerWith(&served, "done"))
+	for range 10 {
+		c.Assert(b.send(context.Background(), "POST", "/order/1").Status, qt.Equals, http.StatusOK)
+	}
+	c.Assert(lost.Load(), qt.Equals, int32(1))
+	inc := registrar.Incarnation{
+		ID: "desk-1",
+	}
+	now := time.Now()
+	c.Assert(b.f.uploads.mayTake(now, inc), qt.IsFalse)
+	c.Assert(b.f.uploads.mayTake(now.Add(uploadBackoff), inc), qt.IsTrue)
+}
+
+// Guards against an upload that is judged by a wrong time: that of its route, or the caller's if it is shorter.
+func TestAllowance(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c)
+	h := http.Header{
+		testRequest: {"r1"},
+	}
+	c.Assert(b.f.Allowance("shop.example", "/order/1", h), qt.Equals, shaper.Allowance{})
+	b.putTable()
+	want := shaper.Allowance{
+		Objective: 500 * time.Millisecond,
+		Deadline:  time.Second,
+		Work:      initialServiceTime,
+	}
+	c.Assert(b.f.Allowance("shop.example", "/order/1", h), qt.Equals, want)
+	h.Set(testDeadline, "300")
+	want.Deadline = 300 * time.Millisecond
+	c.Assert(b.f.Allowance("shop.example", "/order/1", h), qt.Equals, want)
+	c.Assert(b.f.Allowance("shop.example", "/other", h), qt.Equals, shaper.Allowance{})
+}
+
--- a/shaper/reception.go
+++ b/shaper/reception.go
@@ -139,6 +139,11 @@
 	s.startTurns(now)
 }
 
+// Remaining returns the number of bytes still to be read; ok is false if that is not known.
+func (r *Reception) Remaining() (n int64, ok bool) {
+	return r.remaining, !r.unsized
+}
+
 // End ends the body, whether it is complete or not.
 func (r *Reception) End() {
 	if r == nil {
