--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -88,6 +88,9 @@
 	// Allowance returns the time that a request has, by its HTTP host, path and header; nil means no bound. Link refuses bodies by it.
 	Allowance func(host, path string, h http.Header) shaper.Allowance
 
+	// answerTimeout replaces writeTimeout in tests; zero means writeTimeout.
+	answerTimeout time.Duration
+
 	ln net.Listener
 	// draining is true if connections end after their last pending answer.
 	draining atomic.Bool
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -219,7 +220,7 @@
 		c.abort()
 		return
 	}
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.raw.SetWriteDeadline(time.Now().Add(cmp.Or(c.acceptor.answerTimeout, writeTimeout)))
 	text := appendAnswer(nil, a, r.Method, last)
 	c.acceptor.Link.Written(shaper.Short, len(text))
 	_, err := c.raw.Write(text)
--- a/settingsreader/direct_test.go
+++ b/settingsreader/direct_test.go
@@ -31,6 +31,7 @@
 hostLosses = 1
 hold = 10000ms
 retryShare = 0.2
+link = 2.2
 `
 
 // readText writes text to a file and returns its settings and findings, each finding as LINE: MESSAGE.
@@ -58,6 +59,7 @@
 	c.Assert(s.Direct.Hold, qt.Equals, 10*time.Second)
 	c.Assert(s.Direct.Memory, qt.Equals, int64(284<<20))
 	c.Assert(s.Direct.Control.IsValid(), qt.IsFalse)
+	c.Assert(s.Direct.Link, qt.Equals, 2.2)
 }
 
 // Guards against a host that starts although a setting is missing or invalid: each must be a finding with its line.
@@ -77,6 +79,7 @@
 		{"hostLosses = 1", "hostLosses = 1e300"}:        "19: hostLosses = 1e300: wants a whole number from 0",
 		{"retryShare = 0.2", "retryShare = NaN"}:        "21: retryShare = NaN: wants a number from 0",
 		{"retryShare = 0.2", "retryShare = Inf"}:        "21: retryShare = Inf: wants a number from 0",
+		{"link = 2.2", "link = 2,2"}:                    "22: link = 2,2: wants a number from 0",
 		{"hostLosses = 1", "losses = 1"}:                "19: unknown setting losses in section [direct], known are " + strings.Join(knownDirectSettings()["direct"], ", "),
 		{"[direct]", "[other]"}:                         "16: unknown section [other], known are [host], [listen], [direct], [keys] and [network]",
 	} {
