Judge uploads by the rate that short messages leave; receive relayed bodies always

Short messages take a part of the link that admission did not count, and a refusal of a body that another host passed on would be taken there for an unknown outcome. A request whose body got no part of the link in time counts as overload of this host, not as a target without an answer.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -85,7 +85,8 @@
 	Memory *reserver.Reserver
 	// Link schedules long bodies and accounts for answers; nil means that bodies are read as they arrive.
 	Link *shaper.Shaper
-	// Allowance returns the time that a request has, by its HTTP host, path and header; nil means no bound. Link refuses bodies by it.
+	// Allowance returns the time that a request has, by its HTTP host, path and header; nil means that none
+	// is refused. Link refuses bodies by it.
 	Allowance func(host, path string, h http.Header) shaper.Allowance
 
 	// answerTimeout replaces writeTimeout in tests; zero means writeTimeout.
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -18,8 +18,8 @@
 // maxRead is the most bytes of a long body that are read at a time: the receive buffer holds about as many.
 const maxRead = shaper.ReadBuffer
 
-// minRead is how many bytes of a long body must have arrived before the process is woken, unless fewer are left: on a narrow link each
-// segment would wake it otherwise.
+// minRead is how many bytes of a long body must have arrived before the process is woken, unless fewer are left: on a narrow
+// link each segment would wake it otherwise.
 const minRead = 8 << 10
 
 // refusedError is the error of a body that the link has no room for.
@@ -31,8 +31,9 @@
 	return "the link has no room for the body"
 }
 
-// limitBuffers sets a small receive buffer on the listener, which its next connections inherit, so that callers cannot fill the link
-// with bodies that are not read yet. Connections that are open keep theirs: a window that shrinks stalls their callers for 200 ms.
+// limitBuffers sets a small receive buffer on the listener, which its next connections inherit, so that callers cannot fill
+// the link with bodies that are not read yet. Connections that are open keep theirs: a window that shrinks stalls their
+// callers for 200 ms.
 func (a *Acceptor) limitBuffers() {
 	if !a.Link.Active() || a.smallBuffers {
 		return
@@ -49,14 +50,16 @@
 	}
 }
 
-// beginBody asks the link for the body of a request. Until endBody, the body is read when it has its turn. The error says that it is
-// not to be read.
+// beginBody asks the link for the body of a request. Until endBody, the body is read when it has its turn. The error says that
+// it is not to be read.
 func (c *conn) beginBody(req *http.Request, arrived time.Time) error {
 	a := c.acceptor
 	if !a.Link.Active() || req.ContentLength >= 0 && req.ContentLength <= shaper.LongBody {
 		return nil
 	}
-	var allowance shaper.Allowance
+	allowance := shaper.Allowance{
+		Always: true,
+	}
 	if a.Allowance != nil {
 		allowance = a.Allowance(req.Host, req.URL.Path, req.Header)
 	}
--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -8,8 +8,8 @@
 	"bramleyline.example/bramleyline/shaper"
 )
 
-// Allowance returns the time that a request has, by its route and its header. It is zero for requests that get an answer without being
-// sent: those without a table or a route, or with an invalid header.
+// Allowance returns the time that a request has, by its route and its header. It is zero for requests that get an answer
+// without being sent: those without a table or a route, or with an invalid header.
 func (f *Forwarder) Allowance(host, path string, h http.Header) shaper.Allowance {
 	v, _ := f.opts.View()
 	if v == nil || v.Table == nil {
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -49,8 +49,8 @@
 	wg.Wait()
 }
 
-// Guards against two uploads of this host at one target while another target is free, and against uploads that are refused because
-// all have one.
+// Guards against two uploads of this host at one target while another target is free, and against uploads that are refused
+// because all have one.
 func TestUploadsGoToTargetsWithoutOne(t *testing.T) {
 	c := qt.New(t)
 	b := uploadFixture(c)
@@ -126,4 +126,3 @@
 	c.Assert(b.f.Allowance("shop.example", "/order/1", h), qt.Equals, want)
 	c.Assert(b.f.Allowance("shop.example", "/other", h), qt.Equals, shaper.Allowance{})
 }
-
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -56,8 +56,12 @@
 	defer flow.End()
 	first, err := a.firstPiece(flow, body)
 	if err != nil {
-		f := a.fault(err, "nothing was written")
+		f := a.fault(err, "no capacity of the link was free")
 		f.MayHaveRun = false
+		if f.Reason != ReasonCancelled {
+			// The target is not to blame.
+			f.Reason, f.Status = ReasonOverloaded, http.StatusServiceUnavailable
+		}
 		return nil, f
 	}
 	if r.Check != nil {
--- a/sender/paced.go
+++ b/sender/paced.go
@@ -6,8 +6,8 @@
 	"bramleyline.example/bramleyline/shaper"
 )
 
-// firstPiece waits for the link before anything is written, so that a request that does not get it in time has provably not run. It
-// returns the size of the first piece of the body.
+// firstPiece waits for the link before anything is written, so that a request that does not get it in time has provably not
+// run. It returns the size of the first piece of the body.
 func (a *attempt) firstPiece(flow *shaper.Flow, body [][]byte) (int, error) {
 	if flow == nil {
 		return 0, nil
--- a/shaper/intake.go
+++ b/shaper/intake.go
@@ -66,8 +66,8 @@
 	return started
 }
 
-// read records that n bytes of a body were read; n is zero if none arrived until now. It reports whether the body gave up its turn or
-// waits for one again.
+// read records that n bytes of a body were read; n is zero if none arrived until now. It reports whether the body gave up its
+// turn or waits for one again.
 func (q *intake) read(now time.Time, r *Reception, n int) bool {
 	r.remaining = max(0, r.remaining-int64(n))
 	if r.unsized {
--- a/shaper/pacer.go
+++ b/shaper/pacer.go
@@ -68,8 +68,8 @@
 	p.waiting = append(p.waiting, f)
 }
 
-// next returns the flow that may write its piece now and removes it from those that wait. If there is none yet, it returns nil and
-// the time until there is one; that is zero if none waits.
+// next returns the flow that may write its piece now and removes it from those that wait. If there is none yet, it returns nil
+// and the time until there is one; that is zero if none waits.
 func (p *pacer) next(now time.Time) (*Flow, time.Duration) {
 	if len(p.waiting) == 0 {
 		return nil, 0
--- a/shaper/reception.go
+++ b/shaper/reception.go
@@ -27,8 +27,8 @@
 	waited time.Duration
 }
 
-// Receive decides on a body of which size bytes are still to be read, -1 if that is not known, and whose request arrived at arrived. It
-// returns nil for both if the body is not shaped. The caller must call End.
+// Receive decides on a body of which size bytes are still to be read, -1 if that is not known, and whose request arrived at
+// arrived. It returns nil for both if the body is not shaped. The caller must call End.
 func (s *Shaper) Receive(arrived time.Time, size int64, a Allowance) (*Reception, *Refusal) {
 	if !s.Active() || size >= 0 && size <= LongBody {
 		return nil, nil
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -1,5 +1,5 @@
-// Package shaper is a link scheduler: it paces the long bodies that a process writes, bounds those that it reads at the same time,
-// and refuses those that its link cannot carry in time, so that short messages do not wait behind them.
+// Package shaper is a link scheduler: it paces the long bodies that a process writes, bounds those that it reads at the same
+// time, and refuses those that its link cannot carry in time, so that short messages do not wait behind them.
 package shaper
 
 import (
@@ -26,9 +26,12 @@
 	// controlShare is the share of the link up to which calls between hosts count as control messages, over controlWindow.
 	controlShare  = 0.2
 	controlWindow = time.Second
+	// shortWindow is the time over which the share of messages other than bodies is measured.
+	shortWindow = time.Second
 	// lateTime is how much time on the link the bodies in progress may take for one more to be accepted that will be late.
 	lateTime = time.Second
-	// minRetryAfter is the least Retry-After delay of a refused body, and retryAfterShare the greatest as a share of the caller's time.
+	// minRetryAfter is the least Retry-After delay of a refused body, and retryAfterShare the greatest as a share of the caller's
+	// time.
 	minRetryAfter   = 200 * time.Millisecond
 	retryAfterShare = 1.0 / 3
 	// closeInterval is the sampling interval of Connection: close on a saturated host: one of so many answers carries it.
@@ -55,6 +58,8 @@
 	Deadline  time.Duration
 	// Work is the expected service time.
 	Work time.Duration
+	// Always says that the body is received in any case.
+	Always bool
 }
 
 // Refusal says that a body is not received.
@@ -90,6 +95,11 @@
 	// controlBytes is the number of bytes of control messages since controlAt.
 	controlBytes int
 	controlAt    time.Time
+	// shortRate is what messages other than bodies took of the link in the last window, in bytes per second; windowBytes is what
+	// they have taken since windowAt.
+	shortRate   float64
+	windowBytes int
+	windowAt    time.Time
 }
 
 // New returns a Shaper for a link of the given capacity in Mbit/s in each direction, which is not active yet. It returns nil for
@@ -132,6 +142,8 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.out.written(now, n)
+	s.updateShortRate(now)
+	s.windowBytes += n
 	if s.class(now, c, n) == Control {
 		counters.Add("bytesControl", int64(n))
 	} else {
@@ -139,6 +151,21 @@
 	}
 }
 
+// updateShortRate begins a new window of shortRate if the last one has ended. The caller holds the lock.
+func (s *Shaper) updateShortRate(now time.Time) {
+	if elapsed := now.Sub(s.windowAt); elapsed >= shortWindow {
+		s.shortRate = float64(s.windowBytes) / elapsed.Seconds()
+		s.windowAt, s.windowBytes = now, 0
+	}
+}
+
+// bulkRate returns the rate that is left for bodies, in bytes per second. A proxy receives about what it sends, so the same is
+// taken for both directions.
+func (s *Shaper) bulkRate(now time.Time) float64 {
+	s.updateShortRate(now)
+	return max(s.rate-s.shortRate, minBulkShare*s.rate)
+}
+
 // class returns the class as which a message of class c counts.
 func (s *Shaper) class(now time.Time, c Class, n int) Class {
 	if c != Control {
@@ -322,14 +349,17 @@
 // admit decides on a body of size bytes whose request arrived at arrived. The caller holds the lock.
 func (s *Shaper) admit(now, arrived time.Time, size int64, a Allowance) (expected time.Duration, refusal *Refusal) {
 	s.observe(now)
-	receive := seconds((s.in.ahead(now, size) + float64(size)) / s.rate)
-	sent := seconds(s.out.ahead(now, size) / s.rate)
+	rate := s.bulkRate(now)
+	receive := seconds((s.in.ahead(now, size) + float64(size)) / rate)
+	sent := seconds(s.out.ahead(now, size) / rate)
 	// What is being sent goes on while this body is received.
-	expected = receive + max(0, sent-receive) + seconds(float64(size)/s.rate) + a.Work
+	expected = receive + max(0, sent-receive) + seconds(float64(size)/rate) + a.Work
 	total := expected + now.Sub(arrived)
 	backlog := s.backlog(now)
 	reason := ""
 	switch {
+	case a.Always:
+		return expected, nil
 	case a.Deadline > 0 && total > a.Deadline:
 		reason = ReasonDeadline
 	case s.saturation.on:
