Write two pieces of a body after each wait, and read slow callers as they send

Tests of shaper and acceptor pass with -race, those of sender, forwarder and the metrics page without.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -18,10 +18,6 @@
 // maxRead is the most bytes of a long body that are read at a time: the receive buffer holds about as many.
 const maxRead = shaper.ReadBuffer
 
-// minRead is how many bytes of a long body must have arrived before the process is woken, unless fewer are left: on a narrow
-// link each segment would wake it otherwise.
-const minRead = 8 << 10
-
 // refusedError is the error of a body that the link has no room for.
 type refusedError struct {
 	retryAfter time.Duration
@@ -113,9 +109,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if remaining, ok := c.reception.Remaining(); ok {
-			c.setLowWater(int(max(1, min(minRead, remaining))))
-		}
+		c.setLowWater(c.reception.Batch())
 		_ = c.raw.SetReadDeadline(limit)
 		n, err := c.raw.Read(b)
 		c.reception.Read(n)
--- a/shaper/pacer.go
+++ b/shaper/pacer.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// pieceBytes is the size of the pieces in which bodies are written.
+	// pieceBytes is the size of the pieces in which bodies are written, and turnBytes that of the two pieces that are written after
+	// each wait. In a trial at 2.2 Mbit/s, a body of 360 KB took 18 ms of processor time with one piece for each wake-up, and 9 ms
+	// with two.
 	pieceBytes = 4 << 10
+	turnBytes  = 2 * pieceBytes
 	// kernelTime is how long the bytes that wait in the kernel may take on the link before another piece is written.
 	kernelTime = 20 * time.Millisecond
 	// minBulkShare is the share of the link that bodies get however much else is written.
@@ -84,7 +87,7 @@
 		}
 		return 0
 	})
-	// A piece that takes longer than kernelTime is written once nothing else waits.
+	// Pieces that take longer than kernelTime are written once nothing else waits.
 	excess := p.queued + float64(best.piece) - max(float64(best.piece), p.rate*kernelTime.Seconds())
 	due := min(seconds(excess/p.rate), p.pieceAt.Add(seconds(float64(best.piece)/(minBulkShare*p.rate))).Sub(now))
 	if due > 0 {
--- a/shaper/reception.go
+++ b/shaper/reception.go
@@ -7,6 +7,10 @@
 	"github.com/pkg/errors"
 )
 
+// readBatch is how many bytes of a long body must have arrived before the process is woken, unless fewer are left: on a narrow
+// link each segment would wake it otherwise.
+const readBatch = 8 << 10
+
 // ErrLate says that the deadline of a request passed before its body was received.
 var ErrLate = errors.New("body was not received before the deadline of its request")
 
@@ -139,9 +143,15 @@
 	s.startTurns(now)
 }
 
-// Remaining returns the number of bytes still to be read; ok is false if that is not known.
-func (r *Reception) Remaining() (n int64, ok bool) {
-	return r.remaining, !r.unsized
+// Batch returns the number of bytes that should have arrived before the socket is read. It is one for a slow caller, and for a
+// body of unknown length.
+func (r *Reception) Batch() int {
+	r.shaper.mu.Lock()
+	defer r.shaper.mu.Unlock()
+	if r.unsized || r.phase != phaseTurn {
+		return 1
+	}
+	return int(max(1, min(readBatch, r.remaining)))
 }
 
 // End ends the body, whether it is complete or not.
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -216,7 +216,7 @@
 // deadline, or that of ctx.
 func (f *Flow) Piece(ctx context.Context, deadline time.Time, n int) (int, error) {
 	s := f.shaper
-	n = min(n, pieceBytes)
+	n = min(n, turnBytes)
 	f.piece = n
 	s.mu.Lock()
 	now := time.Now()
@@ -230,7 +230,7 @@
 	default:
 	}
 	var expired <-chan time.Time
-	if !deadline.IsZero() {
+	if d, ok := ctx.Deadline(); !deadline.IsZero() && (!ok || deadline.Before(d)) {
 		timer := time.NewTimer(time.Until(deadline))
 		defer timer.Stop()
 		expired = timer.C
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -16,7 +16,7 @@
 			remaining: size,
 			began:     began,
 		},
-		piece: pieceBytes,
+		piece: turnBytes,
 	}
 	p.flows = append(p.flows, f)
 	return f
@@ -52,7 +52,7 @@
 		sent, wakeUps := run(&p, start, 10*time.Second, late, flow(&p, 1<<30, start))
 		share := float64(sent) / 10 / link
 		c.Check(share > 0.9 && share < 0.96, qt.IsTrue, qt.Commentf("late %s: %.3f of the link", late, share))
-		c.Check(wakeUps <= 670, qt.IsTrue, qt.Commentf("late %s: %d wake-ups", late, wakeUps))
+		c.Check(wakeUps <= 340, qt.IsTrue, qt.Commentf("late %s: %d wake-ups", late, wakeUps))
 	}
 }
 
@@ -77,7 +77,7 @@
 			p.wait(now, f)
 		}
 	}
-	c.Assert(pieces, qt.Equals, 10)
+	c.Assert(pieces, qt.Equals, 5)
 }
 
 // Guards against short bodies that wait behind long ones, and against a long one that always waits behind short ones.
