--- a/acceptor/link_test.go
+++ b/acceptor/link_test.go
@@ -17,8 +17,8 @@
 	"bramleyline.example/bramleyline/shaper"
 )
 
-// serveLink starts an Acceptor with a link of mbit, and returns a function that connects to it.
-func serveLink(c *qt.C, mbit float64, allowance shaper.Allowance) func() (net.Conn, *bufio.Reader) {
+// serveLink starts an Acceptor with a link of mbit, and returns it with a function that connects to it.
+func serveLink(c *qt.C, mbit float64, allowance shaper.Allowance) (*Acceptor, func() (net.Conn, *bufio.Reader)) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	a := Acceptor{
@@ -42,7 +42,7 @@
 		defer cancel()
 		_ = a.Finish(ctx)
 	})
-	return func() (net.Conn, *bufio.Reader) {
+	return &a, func() (net.Conn, *bufio.Reader) {
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { _ = conn.Close() })
@@ -60,7 +60,7 @@
 // others; the slow ones must still be served.
 func TestSilentCallersDoNotBlockOthers(t *testing.T) {
 	c := qt.New(t)
-	dial := serveLink(c, 2.2, shaper.Allowance{})
+	_, dial := serveLink(c, 2.2, shaper.Allowance{})
 	silent, _ := dial()
 	post(c, silent, 50_000)
 	slow, slowAnswers := dial()
@@ -93,7 +93,7 @@
 // Guards against small receive buffers that stall callers, and against bodies that are mixed up or incomplete.
 func TestManyUploadsAreReceived(t *testing.T) {
 	c := qt.New(t)
-	dial := serveLink(c, 20, shaper.Allowance{})
+	_, dial := serveLink(c, 20, shaper.Allowance{})
 	var wg sync.WaitGroup
 	began := time.Now()
 	for i := range 10 {
@@ -116,7 +116,7 @@
 // Guards against a body that is read although it cannot be in time, and against a refusal that does not say so.
 func TestBodyIsRefusedAtItsHeader(t *testing.T) {
 	c := qt.New(t)
-	dial := serveLink(c, 2.2, shaper.Allowance{
+	_, dial := serveLink(c, 2.2, shaper.Allowance{
 		Objective: time.Second,
 		Deadline:  2 * time.Second,
 	})
@@ -136,3 +136,31 @@
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(time.Since(began) > 1500*time.Millisecond, qt.IsTrue)
 }
+
+// Guards against a planned stop that drops a body which waits for its turn, or that leaves its caller without an answer.
+func TestStopReadsBodiesThatWait(t *testing.T) {
+	c := qt.New(t)
+	a, dial := serveLink(c, 2.2, shaper.Allowance{
+		Deadline: 2 * time.Second,
+	})
+	var holders []*bufio.Reader
+	for range 2 {
+		conn, answers := dial()
+		post(c, conn, 50_000)
+		holders = append(holders, answers)
+	}
+	time.Sleep(50 * time.Millisecond)
+	conn, answers := dial()
+	post(c, conn, 100_000)
+	go func() { _, _ = io.WriteString(conn, strings.Repeat("x", 100_000)) }()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	c.Assert(a.Finish(ctx), qt.IsNil)
+	_, body := readAnswer(c, answers)
+	c.Assert(body, qt.Equals, "100000")
+	for _, h := range holders {
+		resp, _ := readAnswer(c, h)
+		c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	}
+}
