Place keys by expected response time, and split hot spans at once

Targets of a service with a tight objective get the load for which the mean response time is least, instead of equal utilization. Spans whose load rises above what their owner can serve are divided among many targets in one plan.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -306,7 +306,9 @@
 		Out:        func(dc string) bool { return st.DataCentres[dc].Out },
 		Pending:    s.proposalPending,
 		Estimators: s.estimators,
+		Objective:  s.table.TightestObjective,
 	})
+	s.reportPlans(e.Plans)
 	for _, c := range e.Calls {
 		go s.call(s.lessor, s.leadingSince, c)
 	}
@@ -316,6 +318,26 @@
 	}
 }
 
+// reportPlans counts and logs planned moves.
+func (s *Coordinator) reportPlans(plans []lessor.PlanMsg) {
+	for _, m := range plans {
+		counters.Add("moves", int64(m.Moves))
+		counters.Add("shareMoves", int64(m.Share))
+		if m.Share > 0 {
+			s.opts.Log.Info("moves of keys for shares", "service", m.Service, "moves", m.Share)
+		}
+		if m.Hot == 0 {
+			continue
+		}
+		counters.Add("hotSpans", int64(len(m.HotSpans)))
+		counters.Add("hotMoves", int64(m.Hot))
+		for _, h := range m.HotSpans {
+			s.opts.Log.Info("hot span", "service", m.Service, "from", h.From, "to", h.To)
+		}
+		s.opts.Log.Info("hot spans are split", "service", m.Service, "spans", len(m.HotSpans), "load", m.HotLoad, "moves", m.Hot)
+	}
+}
+
 // followLeadership begins and ends what is kept for one term of leadership, and reports whether this host leads. While its
 // lease has lapsed and no other host was elected, it keeps everything and does nothing: grants are renewed without an entry
 // in the log, so a new Lessor would not know until when they last.
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"bramleyline.example/bramleyline/registrar"
 )
 
 const (
@@ -16,6 +18,11 @@
 	// shortTimeConstant is the time constant for keys that become hot. Within it a hot key gets several requests, and any
 	// other key hardly ever one.
 	shortTimeConstant = 700 * time.Millisecond
+	// steadyTimeConstant is the time constant of SteadyLoad. Over 3 s, the load of a target with three requests a second has a
+	// standard deviation of a quarter by chance; over 15 s it is a tenth.
+	steadyTimeConstant = 15 * time.Second
+	// minSteadyObservation is how long SteadyLoad has to be measured before it is used.
+	minSteadyObservation = 2 * time.Second
 	// hotLoad is the load, in busy slots averaged over shortTimeConstant, from which a key counts as hot.
 	hotLoad = 1.0
 	// minObservation is how long the load has to be measured before decisions are based on it.
@@ -49,6 +56,11 @@
 	startedAt time.Time
 	// slownesses maps the ID of each target to its estimate.
 	slownesses map[string]*slownessEstimate
+	// steady is the load averaged over steadyTimeConstant since steadyStartedAt, nil before the first SteadyLoad. steadySums
+	// is the buffer for its result.
+	steady          []float32
+	steadyStartedAt time.Time
+	steadySums      []float64
 	// requests and serviceTime are the number and the total expected service time of all requests.
 	requests    float64
 	serviceTime time.Duration
@@ -70,6 +82,9 @@
 	e.serviceTime += serviceTime
 	e.load[key] += float32(serviceTime.Seconds() / timeConstant.Seconds())
 	e.recent[key] += float32(serviceTime.Seconds() / shortTimeConstant.Seconds())
+	if e.steady != nil {
+		e.steady[key] += float32(serviceTime.Seconds() / steadyTimeConstant.Seconds())
+	}
 }
 
 // Expect sets the rated slowness of a target, as the estimate before its first answer. It changes nothing once there are
@@ -146,18 +161,23 @@
 }
 
 // CumulativeLoad returns the cumulative load of the keys in busy slots: the load of keys a to b is
-// CumulativeLoad[b+1]-CumulativeLoad[a].
-func (e *Estimator) CumulativeLoad(now time.Time) []float64 {
+// CumulativeLoad[b+1]-CumulativeLoad[a]. The load of keys in rising spans is estimated from the most recent requests.
+func (e *Estimator) CumulativeLoad(now time.Time, rising ...registrar.Span) []float64 {
 	e.decay(now)
-	// The weights of the average add up to one only after several time constants, so the load is scaled up before.
-	totalWeight := 1 - math.Exp(-max(minObservation, now.Sub(e.startedAt)).Seconds()/timeConstant.Seconds())
+	totalWeight := e.totalWeight(now)
 	sums := make([]float64, Keys+1)
 	for i, l := range e.load {
 		load := float64(l) / totalWeight
 		if recent := float64(e.recent[i]); recent >= hotLoad {
 			load = max(load, recent)
 		}
-		sums[i+1] = sums[i] + load + baseLoad/Keys
+		sums[i+1] = load
+	}
+	for _, s := range rising {
+		e.fillRecent(now, s, sums[1:])
+	}
+	for i := range e.load {
+		sums[i+1] = sums[i] + sums[i+1] + baseLoad/Keys
 	}
 	return sums
 }
@@ -180,5 +200,9 @@
 		e.load[i] *= factor
 		e.recent[i] *= shortFactor
 	}
+	steadyFactor := float32(math.Exp(-elapsed.Seconds() / steadyTimeConstant.Seconds()))
+	for i := range e.steady {
+		e.steady[i] *= steadyFactor
+	}
 	e.decayedAt = now
 }
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -60,6 +60,35 @@
 	maxRangesPerTarget  = 12
 	maxRangesPerService = 480
 	minRangesPerTarget  = 4
+	// hotMoves bounds the moves of one plan that splits hot spans, and maxHotRanges the ranges that such moves give to one
+	// target. Two hundred hot keys, the most that is known, need a move for each or for each two of them.
+	hotMoves     = 256
+	maxHotRanges = 6
+	// hotInterval is the least time between two checks for hot spans. A check reads the load of each key, in 0.2 ms.
+	hotInterval = 45 * time.Millisecond
+	// hotConfirmation is the time from the detection of a hot span to its split. At the detection, about a fifth of the
+	// hosts have reported its load, and a split by a load that is far too low has to be repeated.
+	hotConfirmation = 150 * time.Millisecond
+	// hotMemory is how long the load of a span that was hot is estimated from its most recent requests. After it, the
+	// average over 3 s is close to the load.
+	hotMemory = 3 * time.Second
+	// hotBlock is the number of neighbouring keys that are kept or moved together when the hot part of a range is found.
+	hotBlock = 16
+	// minBlockRequests is the least number of recent requests in a block that has a part of the load. Less than two of them
+	// are often there by chance.
+	minBlockRequests = 1.5
+	// maxHotReleases is what maxReleases is while hot spans are released: a target runs and queues about 15 requests, and
+	// each may delay the release of its key. The others must not wait behind these.
+	maxHotReleases = 16
+	// shareMoveFraction bounds the ranges that are moving while further moves that only improve shares are planned, as a
+	// fraction of the targets, and minShareMoves is the least such bound. Each move delays the requests for its keys.
+	shareMoveFraction = 0.04
+	minShareMoves     = 2
+	// objectiveFactor is the ratio of the tightest objective of a service to its mean service time below which its targets
+	// get shares: then the speed of a target decides whether its answers are in time.
+	objectiveFactor = 2.5
+	// firstUtilization is the utilization for which shares are computed before there is load.
+	firstUtilization = 0.4
 	// maxReleases bounds the concurrent releases at one target. There are several because each waits for the requests in
 	// flight on its keys: one after the other they would take seconds at a busy target. They are bounded because a target
 	// with a long queue accepts few connections.
@@ -92,12 +121,28 @@
 	Pending bool
 	// Estimators estimate the load of each service, by name. A service without one counts as idle.
 	Estimators map[string]*estimator.Estimator
+	// Objective returns the tightest latency objective of the routes to a service, zero if it is unknown. It may be nil.
+	Objective func(service string) time.Duration
+}
+
+// PlanMsg reports moves of one service that began, for the log.
+type PlanMsg struct {
+	Service string
+	// Moves is the number of moves, of which Share only improve shares and Hot split hot spans.
+	Moves int
+	Share int
+	Hot   int
+	// HotSpans are the hot spans that were split, and HotLoad is their load in busy slots.
+	HotSpans []registrar.Span
+	HotLoad  float64
 }
 
 // Effects are the calls to make and the changes to propose after a decision.
 type Effects struct {
 	Calls   []CallMsg
 	Changes []registrar.Change
+	// Plans reports the moves that were planned.
+	Plans []PlanMsg
 }
 
 // Lessor is the lease manager of one term of leadership. Make it with New. It is not safe for concurrent use.
@@ -114,6 +159,12 @@
 	plannedAt map[string]time.Time
 	// recentMoves are the latest planned moves that may still be in cooldown, by service.
 	recentMoves map[string][]movedSpan
+	// hotSpans are the spans that were hot within hotMemory, by service, and hotCheckedAt is when hot spans were last looked
+	// for.
+	hotSpans     map[string][]hotSpan
+	hotCheckedAt map[string]time.Time
+	// hotReleases are the spans that are released because they are hot.
+	hotReleases map[spanKey]bool
 	prunedAt    time.Time
 	// joinedAt is when this Lessor first saw each incarnation in the registry.
 	joinedAt map[registrar.Incarnation]time.Time
@@ -167,9 +218,14 @@
 		released:    make(map[spanKey]string),
 		plannedAt:   make(map[string]time.Time),
 		recentMoves: make(map[string][]movedSpan),
-		joinedAt:    make(map[registrar.Incarnation]time.Time),
-		refenced:    make(map[string]bool),
-		scans:       make(map[string]scan),
+
+		hotSpans:     make(map[string][]hotSpan),
+		hotCheckedAt: make(map[string]time.Time),
+		hotReleases:  make(map[spanKey]bool),
+
+		joinedAt: make(map[registrar.Incarnation]time.Time),
+		refenced: make(map[string]bool),
+		scans:    make(map[string]scan),
 	}
 }
 
@@ -235,6 +291,7 @@
 	absent := func(k spanKey) bool { return !present[k] }
 	if !l.view.Pending {
 		maps.DeleteFunc(l.nextOwners, func(k spanKey, _ registrar.Incarnation) bool { return absent(k) })
+		maps.DeleteFunc(l.hotReleases, func(k spanKey, _ bool) bool { return absent(k) })
 	}
 	maps.DeleteFunc(l.released, func(k spanKey, _ string) bool { return absent(k) })
 	for inc, h := range l.holders {
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -27,8 +27,10 @@
 	if open == 0 {
 		return
 	}
+	sums := l.loadSums(service)
+	l.setShares(service, targets, sums)
 	p := planner.Planner{
-		CumulativeLoad: l.loadSums(service),
+		CumulativeLoad: sums,
 		Targets:        targets,
 	}
 	// No earlier leader has granted any range of this service.
@@ -95,8 +97,10 @@
 	if len(spans) == 0 {
 		return nil
 	}
+	sums := l.loadSums(service)
+	l.setShares(service, targets, sums)
 	p := planner.Planner{
-		CumulativeLoad: l.loadSums(service),
+		CumulativeLoad: sums,
 		Ranges:         l.rangesAfterMoves(service, ranges),
 		Targets:        targets,
 	}
@@ -121,9 +125,7 @@
 	targets := l.targets(service)
 	moves := max(minConcurrentMoves, len(targets)/targetsPerMove)
 	moving := 0
-	count := make(map[registrar.Incarnation]int)
 	for _, r := range ranges {
-		count[r.Owner]++
 		if r.Releasing {
 			moving++
 		}
@@ -131,25 +133,60 @@
 	if moving >= moves {
 		return
 	}
-	limit := min(maxRangesPerTarget, max(minRangesPerTarget, maxRangesPerService/max(1, len(targets))))
+	sums := e.CumulativeLoad(l.now, l.recentHotSpans(service)...)
+	shares := l.setShares(service, targets, sums)
 	p := planner.Planner{
-		CumulativeLoad: e.CumulativeLoad(l.now),
+		CumulativeLoad: sums,
 		Ranges:         l.rangesAfterMoves(service, ranges),
 		Targets:        targets,
 		Dispersion:     e.Dispersion(),
 	}
+	if shares {
+		p.MaxRanges = rangesPerTarget(len(targets))
+	}
+	planned := p.Plan(moves - moving)
+	m := PlanMsg{
+		Service: service,
+	}
+	if shares {
+		more := l.planShares(&p, e, planned, l.shareMoves(len(targets))-moving-len(planned))
+		m.Share = len(more)
+		planned = append(planned, more...)
+	}
+	m.Moves = l.startMoves(service, ranges, planned, rangesPerTarget(len(targets)), false)
+	if m.Moves > 0 {
+		m.Share = min(m.Share, m.Moves)
+		l.effects.Plans = append(l.effects.Plans, m)
+	}
+}
+
+// rangesPerTarget is the bound of the ranges of one target for planned moves in a service with so many targets.
+func rangesPerTarget(targets int) int {
+	return min(maxRangesPerTarget, max(minRangesPerTarget, maxRangesPerService/max(1, targets)))
+}
+
+// startMoves begins those of the moves that can begin now, and returns their number.
+func (l *Lessor) startMoves(service string, ranges []registrar.Range, moves []planner.Move, limit int, hot bool) int {
+	count := make(map[registrar.Incarnation]int)
+	for _, r := range ranges {
+		count[r.Owner]++
+	}
 	var spans []registrar.Span
-	for _, m := range p.Plan(moves - moving) {
+	for _, m := range moves {
 		r, ok := registrar.Find(ranges, m.Span.From)
 		if !ok || !l.holder(r.Owner).releaseIsFinal(l.now, r.Fence, m.Span) || count[m.To] >= limit || l.inCooldown(service, m.Span) {
 			continue
 		}
 		count[m.To]++
-		l.nextOwners[spanKey{
+		key := spanKey{
 			service: service,
 			span:    m.Span,
 			fence:   r.Fence,
-		}] = m.To
+		}
+		l.nextOwners[key] = m.To
+		if hot {
+			l.hotReleases[key] = true
+		}
 		l.recentMoves[service] = append(l.recentMoves[service], movedSpan{
 			span:    m.Span,
 			movedAt: l.now,
@@ -157,6 +194,7 @@
 		spans = append(spans, m.Span)
 	}
 	l.releaseSpans(service, spans)
+	return len(spans)
 }
 
 // inCooldown reports whether a span has keys that moved so recently that the effect on the load is not measured yet.
--- a/lessor/scan.go
+++ b/lessor/scan.go
@@ -34,7 +34,7 @@
 	}
 	l.assignFree(service, ranges, free)
 	l.releaseRanges(service, toRelease)
-	if len(free) == 0 && len(toRelease) == 0 {
+	if !l.splitHotSpans(service, ranges) && len(free) == 0 && len(toRelease) == 0 {
 		l.planMoves(service, ranges)
 	}
 }
@@ -182,12 +182,16 @@
 
 // emitCall asks for a grant, or for a release if grant is nil. It does nothing during the backoff after a failed call, nor
 // while another call to the target has to end first: a call for some of the same keys, any grant before a grant, and
-// maxReleases releases before a release.
+// maxReleases releases before a release, or maxHotReleases before one of a hot span.
 func (l *Lessor) emitCall(h *holder, t registrar.Target, key spanKey, grant *GrantCall) {
 	if l.now.Before(h.retryAt) || h.callOverlaps(key) {
 		return
 	}
-	if grant != nil && h.granting || grant == nil && len(h.releases) >= maxReleases {
+	releases := maxReleases
+	if l.hotReleases[key] {
+		releases = maxHotReleases
+	}
+	if grant != nil && h.granting || grant == nil && len(h.releases) >= releases {
 		return
 	}
 	call := CallMsg{
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -109,6 +109,19 @@
 	return r.Priority <= t.topPriority[service]
 }
 
+// TightestObjective returns the least latency objective of the routes to a service, zero if none has one.
+func (t *Table) TightestObjective(service string) time.Duration {
+	var least time.Duration
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		isPart := slices.ContainsFunc(r.Split, func(p Part) bool { return p.Service == service })
+		if isPart && r.Objective > 0 && (least == 0 || r.Objective < least) {
+			least = r.Objective
+		}
+	}
+	return least
+}
+
 // Match returns the route of host with the longest prefix that path has.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[hostName(host)] {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -48,6 +48,9 @@
 	// MaxLoad is the greatest load that the target may get, in busy slots; zero means that only Capacity bounds it. What it
 	// has above that is moved away even if no target is busy.
 	MaxLoad float64
+	// Share is the load that the target should have, in any unit. If it is zero for all targets, each should have the same
+	// utilization. Targets without a share beside others with one should have the mean utilization.
+	Share float64
 	// NoNewKeys says that keys may be moved away from the target but none are assigned or moved to it.
 	NoNewKeys bool
 }
@@ -70,17 +73,29 @@
 	// Dispersion is the index of dispersion of measured loads, that is their variance divided by their mean. Zero means
 	// that loads are exact.
 	Dispersion float64
+	// MaxRanges bounds the ranges of a target to which keys are moved; zero means no bound.
+	MaxRanges int
 }
 
 // targetState is a target with the spans that it owns and their load, as of the moves planned so far.
 type targetState struct {
+	// Target has in Capacity the load that the target should have, up to a factor that is the same for all targets.
 	Target
-	load  float64
-	spans []registrar.Span
+	// served is the load that the target can serve.
+	served float64
+	load   float64
+	spans  []registrar.Span
+	// ranges is the number of ranges, those that are being released included.
+	ranges int
 	// exhausted says that no further move away from the target is to be planned.
 	exhausted bool
 }
 
+// busy reports whether requests at the target are often queued.
+func (st *targetState) busy() bool {
+	return st.load/st.served > busyUtilization
+}
+
 // utilization is the load as a fraction of the capacity.
 func (st *targetState) utilization() float64 {
 	return st.load / st.Capacity
@@ -104,6 +119,7 @@
 	for _, t := range p.Targets {
 		st := &targetState{
 			Target: t,
+			served: t.Capacity,
 		}
 		all = append(all, st)
 		byIncarnation[t.Incarnation] = st
@@ -111,6 +127,19 @@
 			capacity += t.Capacity
 		}
 	}
+	if shares := p.totalShare(); shares > 0 {
+		factor := shares / capacity
+		capacity = 0
+		for _, st := range all {
+			st.Capacity = st.served * factor
+			if st.Share > 0 {
+				st.Capacity = st.Share
+			}
+			if !st.NoNewKeys {
+				capacity += st.Capacity
+			}
+		}
+	}
 	for _, r := range p.Ranges {
 		s := registrar.Span{
 			From: r.From,
@@ -122,11 +151,18 @@
 			continue
 		}
 		st.load += p.spanLoad(s)
+		st.ranges++
 		if !r.Releasing {
 			st.spans = append(st.spans, s)
 		}
 	}
-	return all, total, boundCapacity(all, total, capacity)
+	capacity = boundCapacity(all, total, capacity)
+	if p.totalShare() <= 0 {
+		for _, st := range all {
+			st.served = st.Capacity
+		}
+	}
+	return all, total, capacity
 }
 
 // boundCapacity lowers the capacity of each target whose part of the total load would be above its MaxLoad, so that its
@@ -182,7 +218,7 @@
 	var grants []registrar.Grant
 	for _, s := range spans {
 		for done := false; !done; {
-			st := idlest(all, 0, nil)
+			st := p.idlest(all, p.partLoad(total), nil)
 			want := max((mean-st.utilization())*st.Capacity, minAssignFraction*mean*st.Capacity)
 			part, rest, more := p.cutPrefix(s, want)
 			st.load += p.spanLoad(part)
@@ -222,11 +258,11 @@
 }
 
 // idlest returns the open target whose utilization with extra load added is the lowest. It ignores except, which may be
-// nil.
-func idlest(all []*targetState, extra float64, except *targetState) *targetState {
+// nil, and targets with MaxRanges.
+func (p *Planner) idlest(all []*targetState, extra float64, except *targetState) *targetState {
 	var best *targetState
 	for _, st := range all {
-		if st.NoNewKeys || st == except {
+		if st.NoNewKeys || st == except || p.MaxRanges > 0 && st.ranges >= p.MaxRanges {
 			continue
 		}
 		if best == nil || (st.load+extra)/st.Capacity < (best.load+extra)/best.Capacity {
@@ -237,7 +273,7 @@
 }
 
 // busiest returns the target with the highest utilization that a move away can still be planned for, closed ones included.
-// Targets above their MaxLoad go before the others.
+// Targets above their MaxLoad go first, then busy ones.
 func (p *Planner) busiest(all []*targetState) *targetState {
 	var best *targetState
 	for _, st := range all {
@@ -247,7 +283,12 @@
 		switch {
 		case best == nil, p.overloaded(st) && !p.overloaded(best):
 			best = st
-		case st.utilization() > best.utilization() && p.overloaded(st) == p.overloaded(best):
+		case p.overloaded(st) != p.overloaded(best):
+		case st.busy() != best.busy():
+			if st.busy() {
+				best = st
+			}
+		case st.utilization() > best.utilization():
 			best = st
 		}
 	}
@@ -262,15 +303,20 @@
 		return nil
 	}
 	mean := total / capacity
+	gap := minUtilizationGap
+	if p.totalShare() > 0 {
+		// Here the utilization is relative to the share.
+		gap = minUtilizationGap / busyUtilization * mean
+	}
 	var moves []Move
 	for len(moves) < limit {
-		source, dest := p.busiest(all), idlest(all, 0, nil)
+		source, dest := p.busiest(all), p.idlest(all, p.partLoad(total), nil)
 		if source == nil || dest == nil || source == dest {
 			break
 		}
 		empty := len(dest.spans) == 0 && dest.load == 0
-		uneven := source.utilization() > busyUtilization && p.utilizationLowerBound(source) > imbalanceFactor*mean &&
-			source.utilization()-dest.utilization() > minUtilizationGap
+		uneven := source.busy() && p.utilizationLowerBound(source) > imbalanceFactor*mean &&
+			source.utilization()-dest.utilization() > gap
 		overloaded := p.overloaded(source)
 		if !empty && !uneven && !overloaded {
 			break
@@ -283,7 +329,7 @@
 		}
 		i, part, ok := p.bestCut(source, want)
 		if !ok && (uneven || overloaded) {
-			i, part, dest, ok = p.hottestKeyToIdlest(source, all)
+			i, part, dest, ok = p.hottestKeyToIdlest(source, all, gap)
 		}
 		if !ok {
 			source.exhausted = true
@@ -301,6 +347,7 @@
 		source.load -= carried
 		source.spans = without(source.spans, i, part)
 		dest.load += carried
+		dest.ranges++
 		// The part is not added to the spans of dest, so it cannot move again at once. Its load is added, so dest no longer
 		// counts as empty.
 	}
@@ -309,14 +356,14 @@
 
 // hottestKeyToIdlest returns the hottest key of a busy target, and the target whose utilization is the lowest with that key
 // added. The utilization of that target may rise above the others', so that other keys are moved away from it, but it stays
-// at least minUtilizationGap below the utilization that source has before the move.
-func (p *Planner) hottestKeyToIdlest(source *targetState, all []*targetState) (
+// at least gap below the utilization that source has before the move.
+func (p *Planner) hottestKeyToIdlest(source *targetState, all []*targetState, gap float64) (
 	index int, part registrar.Span, dest *targetState, ok bool,
 ) {
 	key, load := p.hottestKey(source.spans)
-	dest = idlest(all, load, source)
+	dest = p.idlest(all, load, source)
 	if dest == nil || load < minMoveFraction*source.Capacity ||
-		(dest.load+load)/dest.Capacity > source.utilization()-minUtilizationGap {
+		(dest.load+load)/dest.Capacity > source.utilization()-gap {
 		return 0, registrar.Span{}, nil, false
 	}
 	for i, s := range source.spans {
