--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -51,6 +51,8 @@
 	load []float32
 	// recent is the load averaged over shortTimeConstant.
 	recent []float32
+	// recentTotal is the sum of recent.
+	recentTotal float64
 	// decayedAt is when load and recent last decayed, and startedAt when measurement began.
 	decayedAt time.Time
 	startedAt time.Time
@@ -82,6 +84,7 @@
 	e.serviceTime += serviceTime
 	e.load[key] += float32(serviceTime.Seconds() / timeConstant.Seconds())
 	e.recent[key] += float32(serviceTime.Seconds() / shortTimeConstant.Seconds())
+	e.recentTotal += serviceTime.Seconds() / shortTimeConstant.Seconds()
 	if e.steady != nil {
 		e.steady[key] += float32(serviceTime.Seconds() / steadyTimeConstant.Seconds())
 	}
@@ -200,6 +203,7 @@
 		e.load[i] *= factor
 		e.recent[i] *= shortFactor
 	}
+	e.recentTotal *= float64(shortFactor)
 	steadyFactor := float32(math.Exp(-elapsed.Seconds() / steadyTimeConstant.Seconds()))
 	for i := range e.steady {
 		e.steady[i] *= steadyFactor
--- a/estimator/rising.go
+++ b/estimator/rising.go
@@ -38,7 +38,8 @@
 func (e *Estimator) Rising(now time.Time, s registrar.Span) (load float64, rising bool) {
 	e.decay(now)
 	slow, recent := e.sumLoads(now, s)
-	before := loadBefore(slow, recent, baseLoad/Keys*(float64(s.To)-float64(s.From)+1))
+	// When all keys get requests after a pause, the span is compared with its part of them.
+	before := loadBefore(slow, recent, e.evenPart(s))
 	if e.requests == 0 || recent < minRise*before {
 		return slow, false
 	}
@@ -48,7 +49,12 @@
 	if n*math.Log(n/expected)-(n-expected) < riseEvidence {
 		return slow, false
 	}
-	return recent * riseCorrection(slow, recent), true
+	return recent * riseCorrection(slow, recent, e.evenPart(s)), true
+}
+
+// evenPart returns the load of a span if the recent load of all keys were even.
+func (e *Estimator) evenPart(s registrar.Span) float64 {
+	return (e.recentTotal + baseLoad) * (float64(s.To) - float64(s.From) + 1) / Keys
 }
 
 // RecentRequests returns about how many requests for a span arrived within shortTimeConstant. Those that arrived earlier count as
@@ -78,20 +84,21 @@
 	return slow/e.totalWeight(now) + base, recent + base
 }
 
-// riseCorrection returns the factor by which the short average is below the present load. The ratio of the two averages
-// tells how long ago the load rose from zero. If it rose from a higher load, the ratio is lower and the factor too small.
-func riseCorrection(slow, recent float64) float64 {
+// riseCorrection returns the factor by which the short average is below the present load. What the two averages have above
+// the load before tells by its ratio how long ago the load rose. If the load before was more than even, the factor is too small.
+func riseCorrection(slow, recent, even float64) float64 {
 	weight := func(t, constant time.Duration) float64 { return 1 - math.Exp(-t.Seconds()/constant.Seconds()) }
+	before := min(even, slow/2)
 	low, high := minRiseTime, maxRiseTime
 	for range riseSteps {
 		t := (low + high) / 2
-		if weight(t, shortTimeConstant)/weight(t, timeConstant) > recent/slow {
+		if weight(t, shortTimeConstant)/weight(t, timeConstant) > (recent-before)/(slow-before) {
 			low = t
 		} else {
 			high = t
 		}
 	}
-	return 1 / weight(low, shortTimeConstant)
+	return (before + (recent-before)/weight(low, shortTimeConstant)) / recent
 }
 
 // fillRecent sets the loads of the keys of a span to estimates from their most recent requests: a mean of the load of the key,
@@ -103,7 +110,7 @@
 	slow, recent := e.sumLoads(now, s)
 	correction := 1.0
 	if recent > slow {
-		correction = riseCorrection(slow, recent)
+		correction = riseCorrection(slow, recent, e.evenPart(s))
 	}
 	perBusySlot := shortTimeConstant.Seconds() / e.MeanServiceTime().Seconds()
 	for from := int(s.From); from <= int(s.To); from += blockKeys {
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -60,8 +60,9 @@
 	maxRangesPerTarget  = 12
 	maxRangesPerService = 480
 	minRangesPerTarget  = 4
-	// hotMoves bounds the moves of one plan that splits hot spans, and maxHotRanges the ranges that such moves give to one
-	// target. Two hundred hot keys, the most that is known, need a move for each or for each two of them.
+	// hotMoves bounds the moves of one plan that splits hot spans, and maxHotRanges the ranges that a target may have after
+	// such moves, where other moves allow fewer. Two hundred hot keys, the most that is known, need a move for each or for
+	// each two of them.
 	hotMoves     = 256
 	maxHotRanges = 6
 	// hotInterval is the least time between two checks for hot spans. A check reads the load of each key, in 0.2 ms.
@@ -69,6 +70,9 @@
 	// hotConfirmation is the time from the detection of a hot span to its split. At the detection, about a fifth of the
 	// hosts have reported its load, and a split by a load that is far too low has to be repeated.
 	hotConfirmation = 150 * time.Millisecond
+	// hotWait is the time from an election to the first check for hot spans. The loads of a leader that was one before are too
+	// low at first, so that all spans would seem to rise.
+	hotWait = 3 * time.Second
 	// hotMemory is how long the load of a span that was hot is estimated from its most recent requests. After it, the
 	// average over 3 s is close to the load.
 	hotMemory = 3 * time.Second
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -145,17 +145,17 @@
 		p.MaxRanges = rangesPerTarget(len(targets))
 	}
 	planned := p.Plan(moves - moving)
+	limit := rangesPerTarget(len(targets))
 	m := PlanMsg{
 		Service: service,
+		Moves:   l.startMoves(service, ranges, planned, limit, false),
 	}
 	if shares {
-		more := l.planShares(&p, e, planned, l.shareMoves(len(targets))-moving-len(planned))
-		m.Share = len(more)
-		planned = append(planned, more...)
+		forShares := l.planShares(&p, e, planned, l.shareMoves(len(targets))-moving-len(planned))
+		m.Share = l.startMoves(service, ranges, forShares, limit, false)
+		m.Moves += m.Share
 	}
-	m.Moves = l.startMoves(service, ranges, planned, rangesPerTarget(len(targets)), false)
 	if m.Moves > 0 {
-		m.Share = min(m.Share, m.Moves)
 		l.effects.Plans = append(l.effects.Plans, m)
 	}
 }
--- a/lessor/share.go
+++ b/lessor/share.go
@@ -119,23 +119,26 @@
 // other moves should be planned then: they would carry single keys of these spans.
 func (l *Lessor) splitHotSpans(service string, ranges []registrar.Range) bool {
 	e := l.view.Estimators[service]
-	if e == nil || !e.Measured(l.now) || l.now.Before(l.hotCheckedAt[service].Add(hotInterval)) {
+	if e == nil || !e.Measured(l.now) || l.now.Sub(l.elected) < hotWait ||
+		l.now.Before(l.hotCheckedAt[service].Add(hotInterval)) {
 		return false
 	}
 	l.hotCheckedAt[service] = l.now
-	ranges = l.rangesAfterMoves(service, ranges)
 	var rising []registrar.Range
-	load := make(map[registrar.Incarnation]float64)
 	for _, r := range ranges {
-		w, ok := e.Rising(l.now, spanOf(r))
-		load[r.Owner] += w
-		if ok && !r.Releasing && r.Owner.ID != "" {
+		if _, ok := e.Rising(l.now, spanOf(r)); ok && !r.Releasing && r.Owner.ID != "" {
 			rising = append(rising, r)
 		}
 	}
 	if len(rising) == 0 {
 		return false
 	}
+	ranges = l.rangesAfterMoves(service, ranges)
+	load := make(map[registrar.Incarnation]float64)
+	for _, r := range ranges {
+		w, _ := e.Rising(l.now, spanOf(r))
+		load[r.Owner] += w
+	}
 	targets := l.targets(service)
 	capacity := make(map[registrar.Incarnation]float64)
 	for _, t := range targets {
@@ -174,9 +177,9 @@
 		CumulativeLoad: sums,
 		Ranges:         ranges,
 		Targets:        targets,
-		MaxRanges:      maxHotRanges,
+		MaxRanges:      max(maxHotRanges, rangesPerTarget(len(targets))),
 	}
-	m.Hot = l.startMoves(service, ranges, p.Split(m.HotSpans, hotMoves), maxHotRanges, true)
+	m.Hot = l.startMoves(service, ranges, p.Split(m.HotSpans, hotMoves), p.MaxRanges, true)
 	m.Moves = m.Hot
 	if m.Hot > 0 {
 		l.effects.Plans = append(l.effects.Plans, m)
