Average the slowness for shares over more answers; keep planned owners of hot spans

Cause: shares followed the noise of the estimated slowness (186 moves in 30 s among 238 equal targets with slow periods), and a prune in the tick of a plan deleted the planned owners and the mark of hot releases. Change: SteadySlowness, a tolerance for it, and no prune in ticks with such plans.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -39,6 +39,11 @@
 	answerWeight = 0.05
 	// ratedAnswerWeight is the same for a rated target.
 	ratedAnswerWeight = 0.02
+	// steadyAnswerWeight is what answerWeight is for SteadySlowness: with times that vary by two thirds, the average of 20
+	// answers varies by a tenth, and the share of a target by more. When the two differ by the factor steadySlownessRatio,
+	// the target has changed and SteadySlowness follows at once.
+	steadyAnswerWeight  = 0.005
+	steadySlownessRatio = 1.35
 	// minSlowness and maxSlowness bound the observed slowness that enters the average.
 	minSlowness = 0.3
 	maxSlowness = 4.0
@@ -71,6 +76,8 @@
 // slownessEstimate is the estimated slowness of a target.
 type slownessEstimate struct {
 	slowness float64
+	// steady is the slowness averaged over more answers.
+	steady float64
 	// answers is the number of observed answers.
 	answers float64
 	// priorAnswers is the weight, in answers, of the slowness that was assumed before the first answer.
@@ -97,7 +104,7 @@
 		return
 	}
 	est := e.estimateOf(target)
-	est.slowness, est.priorAnswers = slowness, ratedAnswers
+	est.slowness, est.steady, est.priorAnswers = slowness, slowness, ratedAnswers
 }
 
 // estimateOf returns the estimate for a target, and adds it if there is none yet.
@@ -109,6 +116,7 @@
 	if !ok {
 		est = &slownessEstimate{
 			slowness:     1,
+			steady:       1,
 			priorAnswers: defaultAnswers,
 		}
 		e.slownesses[target] = est
@@ -129,8 +137,22 @@
 	if est.priorAnswers == ratedAnswers {
 		weight = ratedAnswerWeight
 	}
-	combinedWeight := max(1-math.Pow(1-weight, float64(count)), float64(count)/(est.answers+est.priorAnswers))
-	est.slowness += combinedWeight * (min(maxSlowness, max(minSlowness, slowness)) - est.slowness)
+	prior := float64(count) / (est.answers + est.priorAnswers)
+	combinedWeight := max(1-math.Pow(1-weight, float64(count)), prior)
+	bounded := min(maxSlowness, max(minSlowness, slowness))
+	est.slowness += combinedWeight * (bounded - est.slowness)
+	est.steady += max(1-math.Pow(1-steadyAnswerWeight, float64(count)), prior) * (bounded - est.steady)
+	if r := est.slowness / est.steady; r > steadySlownessRatio || r < 1/steadySlownessRatio {
+		est.steady = est.slowness
+	}
+}
+
+// SteadySlowness returns the estimated slowness of a target like Slowness, averaged over more answers unless it has changed.
+func (e *Estimator) SteadySlowness(target string) float64 {
+	if est, ok := e.slownesses[target]; ok {
+		return est.steady
+	}
+	return 1
 }
 
 // Slowness returns the estimated slowness of a target, 1 if there is no estimate.
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -169,7 +169,10 @@
 	hotCheckedAt map[string]time.Time
 	// hotReleases are the spans that are released because they are hot.
 	hotReleases map[spanKey]bool
-	prunedAt    time.Time
+	// movesProposed says that this tick has proposed moves of hot spans or of a service with shares. Their spans are not in the
+	// registry yet.
+	movesProposed bool
+	prunedAt      time.Time
 	// joinedAt is when this Lessor first saw each incarnation in the registry.
 	joinedAt map[registrar.Incarnation]time.Time
 	// joinedTargets are the targets at the last update of joinedAt.
@@ -268,6 +271,7 @@
 // Tick returns the calls and changes that are due at now.
 func (l *Lessor) Tick(now time.Time, v View) Effects {
 	l.now, l.view, l.effects = now, v, Effects{}
+	l.movesProposed = false
 	l.recordJoins()
 	for _, service := range v.Services {
 		l.tickService(service)
@@ -293,7 +297,7 @@
 		}
 	}
 	absent := func(k spanKey) bool { return !present[k] }
-	if !l.view.Pending {
+	if !l.view.Pending && !l.movesProposed {
 		maps.DeleteFunc(l.nextOwners, func(k spanKey, _ registrar.Incarnation) bool { return absent(k) })
 		maps.DeleteFunc(l.hotReleases, func(k spanKey, _ bool) bool { return absent(k) })
 	}
--- a/lessor/plan.go
+++ b/lessor/plan.go
@@ -194,6 +194,7 @@
 		spans = append(spans, m.Span)
 	}
 	l.releaseSpans(service, spans)
+	l.movesProposed = l.movesProposed || len(spans) > 0 && (hot || l.sharesApply(service))
 	return len(spans)
 }
 
--- a/lessor/share.go
+++ b/lessor/share.go
@@ -26,6 +26,7 @@
 	if !l.sharesApply(service) {
 		return false
 	}
+	e := l.view.Estimators[service]
 	a := apportioner.Apportioner{
 		Load: sums[estimator.Keys],
 	}
@@ -41,11 +42,11 @@
 		capacity += t.Capacity
 		a.Targets = append(a.Targets, apportioner.Target{
 			Slots:    slots,
-			Slowness: float64(slots) / t.Capacity,
+			Slowness: e.SteadySlowness(t.Incarnation.ID),
 			MaxLoad:  t.MaxLoad,
 		})
 	}
-	if !l.view.Estimators[service].Measured(l.now) {
+	if !e.Measured(l.now) {
 		a.Load = firstUtilization * capacity
 	}
 	for i, share := range a.Shares() {
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -45,6 +45,17 @@
 	c.Assert(ok, qt.IsFalse)
 }
 
+// Guards against the objective of a route to another service, or of one that is not the tightest.
+func TestTightestObjective(t *testing.T) {
+	c := qt.New(t)
+	slow, fast, none, other := route("slow", "a", "/s/"), route("fast", "a", "/f/"), route("none", "a", "/n/"), route("other", "a", "/o/")
+	slow.Objective, fast.Objective, none.Objective, other.Objective = time.Second, 200*time.Millisecond, 0, time.Millisecond
+	service := slow.Split[0].Service
+	other.Split[0].Service = "another"
+	c.Check(table(slow, fast, none, other).TightestObjective(service), qt.Equals, 200*time.Millisecond)
+	c.Check(table(slow).TightestObjective("unknown"), qt.Equals, time.Duration(0))
+}
+
 // Guards against an invalid table being put in force: all errors are reported together, each with its route.
 func TestCheckFindsEveryFault(t *testing.T) {
 	c := qt.New(t)
--- a/planner/share.go
+++ b/planner/share.go
@@ -10,7 +10,9 @@
 	// shareImbalance is what imbalanceFactor is, and shareDeviations what noiseDeviations is, for moves that only improve
 	// shares. They may be lower as these moves are bounded in number and use loads that are averaged for longer.
 	shareImbalance  = 1.2
-	shareDeviations = 2.4
+	shareDeviations = 2.7
+	// shareError is the standard deviation of a share, as a fraction, because the measured slowness varies by chance.
+	shareError = 0.06
 	// minShareMove is the least load of such a move, as a fraction of the mean load of a target.
 	minShareMove = 0.1
 	// splitFraction is the least part of its share that a target gets of a span that is split, however busy it is: single
@@ -74,16 +76,21 @@
 	return moves
 }
 
+// shareDeviation is the standard deviation of the difference between the load and the share of a target with such a share.
+func (p *Planner) shareDeviation(wanted float64) float64 {
+	return math.Sqrt(wanted*p.Dispersion + shareError*shareError*wanted*wanted)
+}
+
 // aboveShare reports whether the load of a target is too high, unless by chance.
 func (p *Planner) aboveShare(st *targetState, mean float64) bool {
 	wanted := mean * st.Capacity
-	return st.load-shareDeviations*math.Sqrt(wanted*p.Dispersion) > shareImbalance*wanted
+	return st.load-shareDeviations*p.shareDeviation(wanted) > shareImbalance*wanted
 }
 
 // belowShare reports whether the load of a target is too low, unless by chance.
 func (p *Planner) belowShare(st *targetState, mean float64) bool {
 	wanted := mean * st.Capacity
-	return st.load+shareDeviations*math.Sqrt(wanted*p.Dispersion) < wanted/shareImbalance
+	return st.load+shareDeviations*p.shareDeviation(wanted) < wanted/shareImbalance
 }
 
 // furthestAbove returns the target whose load is least likely to be above its share by chance, of those from which a move of
