--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -39,6 +39,12 @@
 	return float64(t.Slots) / t.Slowness
 }
 
+// MarginalCost returns the increase of the sum of all response times, as a multiple of the service time, for each further
+// request at the given load. Above maxUtilization it rises no more.
+func (t Target) MarginalCost(load float64) float64 {
+	return t.Slowness * marginalCost(t.Slots, min(maxUtilization, max(0, load/t.capacity())))
+}
+
 // Wait returns the mean wait for a slot as a multiple of the service time, at a utilization from 0 to below 1.
 func Wait(slots int, utilization float64) float64 {
 	c := float64(slots)
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -43,7 +43,7 @@
 	// answers varies by a tenth, and the share of a target by more. When the two differ by the factor steadySlownessRatio,
 	// the target has changed and SteadySlowness follows at once.
 	steadyAnswerWeight  = 0.005
-	steadySlownessRatio = 1.35
+	steadySlownessRatio = 1.5
 	// minSlowness and maxSlowness bound the observed slowness that enters the average.
 	minSlowness = 0.3
 	maxSlowness = 4.0
--- a/lessor/scan.go
+++ b/lessor/scan.go
@@ -188,7 +188,7 @@
 		return
 	}
 	releases := maxReleases
-	if l.hotReleases[key] {
+	if l.hotReleases[key] || l.wasHot(key) {
 		releases = maxHotReleases
 	}
 	if grant != nil && h.granting || grant == nil && len(h.releases) >= releases {
--- a/lessor/share.go
+++ b/lessor/share.go
@@ -1,6 +1,7 @@
 package lessor
 
 import (
+	"slices"
 	"time"
 
 	"bramleyline.example/bramleyline/apportioner"
@@ -37,14 +38,15 @@
 			continue
 		}
 		reg, _ := l.view.Registry.Target(t.Incarnation.ID)
-		slots := max(1, reg.Slots)
 		open = append(open, i)
 		capacity += t.Capacity
-		a.Targets = append(a.Targets, apportioner.Target{
-			Slots:    slots,
+		target := apportioner.Target{
+			Slots:    max(1, reg.Slots),
 			Slowness: e.SteadySlowness(t.Incarnation.ID),
 			MaxLoad:  t.MaxLoad,
-		})
+		}
+		a.Targets = append(a.Targets, target)
+		targets[i].MarginalCost = target.MarginalCost
 	}
 	if !e.Measured(l.now) {
 		a.Load = firstUtilization * capacity
@@ -99,6 +101,13 @@
 	return spans
 }
 
+// wasHot reports whether a span is part of one that was hot within hotMemory.
+func (l *Lessor) wasHot(key spanKey) bool {
+	return slices.ContainsFunc(l.hotSpans[key.service], func(h hotSpan) bool {
+		return l.now.Before(h.until) && h.span.From <= key.span.From && key.span.To <= h.span.To
+	})
+}
+
 // rememberHot records that a span is hot, and returns since when. A part of a known hot span prolongs that one.
 func (l *Lessor) rememberHot(service string, s registrar.Span) (since time.Time) {
 	until := l.now.Add(hotMemory)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -51,6 +51,9 @@
 	// Share is the load that the target should have, in any unit. If it is zero for all targets, each should have the same
 	// utilization. Targets without a share beside others with one should have the mean utilization.
 	Share float64
+	// MarginalCost returns the cost of further load at a given load, for comparison with other targets. It may be nil. Moves
+	// that only improve shares are planned only if they lower the cost significantly.
+	MarginalCost func(load float64) float64
 	// NoNewKeys says that keys may be moved away from the target but none are assigned or moved to it.
 	NoNewKeys bool
 }
@@ -104,6 +107,9 @@
 // utilizationLowerBound is the utilization that a target has at least, unless its measured load is too high by more than
 // noiseDeviations standard deviations.
 func (p *Planner) utilizationLowerBound(st *targetState) float64 {
+	if st.Share > 0 {
+		return (st.load - noiseDeviations*p.shareDeviation(st.load)) / st.Capacity
+	}
 	return (st.load - noiseDeviations*math.Sqrt(st.load*p.Dispersion)) / st.Capacity
 }
 
--- a/planner/share.go
+++ b/planner/share.go
@@ -12,9 +12,12 @@
 	shareImbalance  = 1.2
 	shareDeviations = 2.7
 	// shareError is the standard deviation of a share, as a fraction, because the measured slowness varies by chance.
-	shareError = 0.06
+	shareError = 0.09
 	// minShareMove is the least load of such a move, as a fraction of the mean load of a target.
 	minShareMove = 0.1
+	// minCostRatio is the least ratio of the marginal costs of source and destination of such a move. At low load, the wait
+	// hardly matters and shares change much with the measured slowness, while the mean response time does not.
+	minCostRatio = 1.3
 	// splitFraction is the least part of its share that a target gets of a span that is split, however busy it is: single
 	// keys for each of all targets would make too many ranges.
 	splitFraction = 0.25
@@ -58,7 +61,7 @@
 		}
 		want := min(source.load-mean*source.Capacity, mean*dest.Capacity-dest.load)
 		i, part, ok := p.bestCut(source, want)
-		if !ok || p.spanLoad(part) < least/2 {
+		if !ok || !cheaper(source, dest) || p.spanLoad(part) < least/2 {
 			source.exhausted = true
 			continue
 		}
@@ -93,6 +96,14 @@
 	return st.load+shareDeviations*p.shareDeviation(wanted) < wanted/shareImbalance
 }
 
+// cheaper reports whether further load costs significantly less at dest than at source.
+func cheaper(source, dest *targetState) bool {
+	if source.MarginalCost == nil || dest.MarginalCost == nil {
+		return true
+	}
+	return source.MarginalCost(source.load) > minCostRatio*dest.MarginalCost(dest.load)
+}
+
 // furthestAbove returns the target whose load is least likely to be above its share by chance, of those from which a move of
 // at least the given load can still be planned.
 func (p *Planner) furthestAbove(all []*targetState, mean, least float64) *targetState {
