--- a/planner/share.go
+++ b/planner/share.go
@@ -145,7 +145,7 @@
 }
 
 // Split returns at most limit moves that divide spans, each of which has one owner, among the other targets. Each target gets
-// load up to its share, and at least splitFraction of it.
+// load up to its share, and at least splitFraction of it. A span whose load is that of a single key is left to Plan.
 func (p *Planner) Split(spans []registrar.Span, limit int) []Move {
 	all, total, capacity := p.targetStates()
 	if capacity == 0 {
@@ -155,7 +155,7 @@
 	var moves []Move
 	for _, s := range spans {
 		source := p.ownerOf(all, s)
-		if source == nil {
+		if _, load := p.hottestKey([]registrar.Span{s}); source == nil || load >= hotKeyShare*p.spanLoad(s) {
 			continue
 		}
 		for more := true; more; {
