--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"bramleyline.example/bramleyline/registrar"
 )
 
 const (
@@ -16,6 +18,11 @@
 	// shortTimeConstant is the time constant for keys that become hot. Within it a hot key gets several requests, and any
 	// other key hardly ever one.
 	shortTimeConstant = 700 * time.Millisecond
+	// steadyTimeConstant is the time constant of SteadyLoad. Over 3 s, the load of a target with three requests a second has a
+	// standard deviation of a quarter by chance; over 15 s it is a tenth.
+	steadyTimeConstant = 15 * time.Second
+	// minSteadyObservation is how long SteadyLoad has to be measured before it is used.
+	minSteadyObservation = 2 * time.Second
 	// hotLoad is the load, in busy slots averaged over shortTimeConstant, from which a key counts as hot.
 	hotLoad = 1.0
 	// minObservation is how long the load has to be measured before decisions are based on it.
@@ -32,6 +39,11 @@
 	answerWeight = 0.05
 	// ratedAnswerWeight is the same for a rated target.
 	ratedAnswerWeight = 0.02
+	// steadyAnswerWeight is what answerWeight is for SteadySlowness: with times that vary by two thirds, the average of 20
+	// answers varies by a tenth, and the share of a target by more. When the two differ by the factor steadySlownessRatio,
+	// the target has changed and SteadySlowness follows at once.
+	steadyAnswerWeight  = 0.005
+	steadySlownessRatio = 1.5
 	// minSlowness and maxSlowness bound the observed slowness that enters the average.
 	minSlowness = 0.3
 	maxSlowness = 4.0
@@ -44,11 +56,18 @@
 	load []float32
 	// recent is the load averaged over shortTimeConstant.
 	recent []float32
+	// recentTotal is the sum of recent.
+	recentTotal float64
 	// decayedAt is when load and recent last decayed, and startedAt when measurement began.
 	decayedAt time.Time
 	startedAt time.Time
 	// slownesses maps the ID of each target to its estimate.
 	slownesses map[string]*slownessEstimate
+	// steady is the load averaged over steadyTimeConstant since steadyStartedAt, nil before the first SteadyLoad. steadySums
+	// is the buffer for its result.
+	steady          []float32
+	steadyStartedAt time.Time
+	steadySums      []float64
 	// requests and serviceTime are the number and the total expected service time of all requests.
 	requests    float64
 	serviceTime time.Duration
@@ -57,6 +76,8 @@
 // slownessEstimate is the estimated slowness of a target.
 type slownessEstimate struct {
 	slowness float64
+	// steady is the slowness averaged over more answers.
+	steady float64
 	// answers is the number of observed answers.
 	answers float64
 	// priorAnswers is the weight, in answers, of the slowness that was assumed before the first answer.
@@ -70,6 +91,10 @@
 	e.serviceTime += serviceTime
 	e.load[key] += float32(serviceTime.Seconds() / timeConstant.Seconds())
 	e.recent[key] += float32(serviceTime.Seconds() / shortTimeConstant.Seconds())
+	e.recentTotal += serviceTime.Seconds() / shortTimeConstant.Seconds()
+	if e.steady != nil {
+		e.steady[key] += float32(serviceTime.Seconds() / steadyTimeConstant.Seconds())
+	}
 }
 
 // Expect sets the rated slowness of a target, as the estimate before its first answer. It changes nothing once there are
@@ -79,7 +104,7 @@
 		return
 	}
 	est := e.estimateOf(target)
-	est.slowness, est.priorAnswers = slowness, ratedAnswers
+	est.slowness, est.steady, est.priorAnswers = slowness, slowness, ratedAnswers
 }
 
 // estimateOf returns the estimate for a target, and adds it if there is none yet.
@@ -91,6 +116,7 @@
 	if !ok {
 		est = &slownessEstimate{
 			slowness:     1,
+			steady:       1,
 			priorAnswers: defaultAnswers,
 		}
 		e.slownesses[target] = est
@@ -111,8 +137,22 @@
 	if est.priorAnswers == ratedAnswers {
 		weight = ratedAnswerWeight
 	}
-	combinedWeight := max(1-math.Pow(1-weight, float64(count)), float64(count)/(est.answers+est.priorAnswers))
-	est.slowness += combinedWeight * (min(maxSlowness, max(minSlowness, slowness)) - est.slowness)
+	prior := float64(count) / (est.answers + est.priorAnswers)
+	combinedWeight := max(1-math.Pow(1-weight, float64(count)), prior)
+	bounded := min(maxSlowness, max(minSlowness, slowness))
+	est.slowness += combinedWeight * (bounded - est.slowness)
+	est.steady += max(1-math.Pow(1-steadyAnswerWeight, float64(count)), prior) * (bounded - est.steady)
+	if r := est.slowness / est.steady; r > steadySlownessRatio || r < 1/steadySlownessRatio {
+		est.steady = est.slowness
+	}
+}
+
+// SteadySlowness returns the estimated slowness of a target like Slowness, averaged over more answers unless it has changed.
+func (e *Estimator) SteadySlowness(target string) float64 {
+	if est, ok := e.slownesses[target]; ok {
+		return est.steady
+	}
+	return 1
 }
 
 // Slowness returns the estimated slowness of a target, 1 if there is no estimate.
@@ -146,18 +186,23 @@
 }
 
 // CumulativeLoad returns the cumulative load of the keys in busy slots: the load of keys a to b is
-// CumulativeLoad[b+1]-CumulativeLoad[a].
-func (e *Estimator) CumulativeLoad(now time.Time) []float64 {
+// CumulativeLoad[b+1]-CumulativeLoad[a]. The load of keys in rising spans is estimated from the most recent requests.
+func (e *Estimator) CumulativeLoad(now time.Time, rising ...registrar.Span) []float64 {
 	e.decay(now)
-	// The weights of the average add up to one only after several time constants, so the load is scaled up before.
-	totalWeight := 1 - math.Exp(-max(minObservation, now.Sub(e.startedAt)).Seconds()/timeConstant.Seconds())
+	totalWeight := e.totalWeight(now)
 	sums := make([]float64, Keys+1)
 	for i, l := range e.load {
 		load := float64(l) / totalWeight
 		if recent := float64(e.recent[i]); recent >= hotLoad {
 			load = max(load, recent)
 		}
-		sums[i+1] = sums[i] + load + baseLoad/Keys
+		sums[i+1] = load
+	}
+	for _, s := range rising {
+		e.fillRecent(now, s, sums[1:])
+	}
+	for i := range e.load {
+		sums[i+1] = sums[i] + sums[i+1] + baseLoad/Keys
 	}
 	return sums
 }
@@ -180,5 +225,10 @@
 		e.load[i] *= factor
 		e.recent[i] *= shortFactor
 	}
+	e.recentTotal *= float64(shortFactor)
+	steadyFactor := float32(math.Exp(-elapsed.Seconds() / steadyTimeConstant.Seconds()))
+	for i := range e.steady {
+		e.steady[i] *= steadyFactor
+	}
 	e.decayedAt = now
 }
