Divide the capacity of a service by priority; compute the capacity of pools

Cause: under load above capacity each host admits what arrives first, and urgent requests are late.

Change: package prioritizer computes the share of each priority from capacity and the demand of all hosts, and admits it with an accumulator for each route. viewer computes the capacity of a pool once for each change of its targets.

--- /dev/null
+++ b/prioritizer/prioritizer.go
@@ -0,0 +1,163 @@
+// Package prioritizer is an admission controller that sheds load by priority. It divides the capacity of a service among
+// the priorities of its requests, and admits the resulting share of the arrivals of one host.
+package prioritizer
+
+import (
+	"slices"
+	"sync"
+)
+
+const (
+	// usableShare is the part of the capacity up to which requests are admitted: above it, queues grow faster than they
+	// bring answers.
+	usableShare = 0.85
+	// minShareFactor is the least share of a priority, as a part of the share of all work together. A quarter of the
+	// requests is required; shares are of work, so there is a margin for routes with different service times.
+	minShareFactor = 0.3
+	// maxBorrowed is the number of returning callers that a route may admit ahead of its share.
+	maxBorrowed = 4
+	// rounding is the tolerance of the accumulators for sums of shares.
+	rounding = 1e-9
+)
+
+// Demand is the work of one priority that arrives.
+type Demand struct {
+	// Priority is the rank of the routes; zero is the most urgent.
+	Priority int
+	// Work is the number of slots of usual speed that the work keeps busy: arrivals per second x expected service time.
+	Work float64
+}
+
+// Request is an arrival.
+type Request struct {
+	Route    string
+	Priority int
+	// Returning says that the caller was refused before, and waited as long as it was asked to.
+	Returning bool
+}
+
+// Prioritizer admits the requests of one host to one service. The zero value admits everything. It is safe for concurrent
+// use.
+type Prioritizer struct {
+	// Phase is the credit that each route starts with, from zero to one. It differs between hosts, so that they do not
+	// all refuse the same arrivals.
+	Phase float64
+
+	mu       sync.Mutex
+	shares   shares
+	pressure float64
+	// credits holds the accumulator of each route: the number of requests that it may admit, negative for admissions ahead
+	// of its share.
+	credits map[string]float64
+}
+
+// Update sets the capacity of the service, in slots of usual speed, and the demand of all hosts together. A capacity of
+// zero or less means that it is not known: then everything is admitted.
+func (p *Prioritizer) Update(capacity float64, demand []Demand) {
+	s, pressure := divide(usableShare*capacity, demand)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shares, p.pressure = s, pressure
+}
+
+// Pressure returns the demand as a multiple of the usable capacity, zero if one of them is not known.
+func (p *Prioritizer) Pressure() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pressure
+}
+
+// Share returns the share of the requests of a priority that is admitted.
+func (p *Prioritizer) Share(priority int) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shares.of(priority)
+}
+
+// Admit records an arrival and reports whether it is admitted. Of n arrivals of a route, its share times n are admitted,
+// rounded to a whole number and exceeded by at most maxBorrowed. Returning callers come first.
+func (p *Prioritizer) Admit(r Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	share := p.shares.of(r.Priority)
+	if share >= 1 {
+		// What was borrowed is not paid back from a later overload.
+		delete(p.credits, r.Route)
+		return true
+	}
+	if p.credits == nil {
+		p.credits = make(map[string]float64)
+	}
+	credit, ok := p.credits[r.Route]
+	if !ok {
+		credit = p.Phase
+	}
+	credit += share
+	least := 1.0
+	if r.Returning {
+		least = 1 - maxBorrowed
+	}
+	admitted := credit >= least-rounding
+	if admitted {
+		credit--
+	}
+	p.credits[r.Route] = credit
+	return admitted
+}
+
+// shares holds the admitted share of each priority.
+type shares struct {
+	// byPriority is sorted, the most urgent priority first. The shares fall.
+	byPriority []share
+	// least is the share of a priority that gets no more than the minimum.
+	least float64
+}
+
+type share struct {
+	priority int
+	admitted float64
+}
+
+// divide gives the capacity to the priorities in their order, but to each at least the minimum. It returns the demand as a
+// multiple of capacity, too.
+func divide(capacity float64, demand []Demand) (shares, float64) {
+	total := 0.0
+	for _, d := range demand {
+		total += max(0, d.Work)
+	}
+	if capacity <= 0 || total <= 0 {
+		return shares{least: 1}, 0
+	}
+	pressure := total / capacity
+	s := shares{
+		least: minShareFactor * min(1, 1/pressure),
+	}
+	demand = slices.Clone(demand)
+	slices.SortFunc(demand, func(a, b Demand) int { return a.Priority - b.Priority })
+	left := capacity - s.least*total
+	for _, d := range demand {
+		admitted := 1.0
+		if work := (1 - s.least) * d.Work; work > left {
+			admitted = s.least + (1-s.least)*left/work
+		}
+		left = max(0, left-(1-s.least)*max(0, d.Work))
+		s.byPriority = append(s.byPriority, share{
+			priority: d.Priority,
+			admitted: admitted,
+		})
+	}
+	return s, pressure
+}
+
+// of returns the share of a priority. One whose demand is not known has that of the next less urgent one.
+func (s shares) of(priority int) float64 {
+	for _, known := range s.byPriority {
+		if known.priority >= priority {
+			return known.admitted
+		}
+	}
+	if n := len(s.byPriority); n == 0 || s.byPriority[n-1].admitted >= 1 {
+		return 1
+	}
+	return s.least
+}
--- a/viewer/builder.go
+++ b/viewer/builder.go
@@ -57,13 +57,18 @@
 		p := &Pool{
 			Service:  svc,
 			snapshot: v.snapshot,
+			capacity: &capacityCache{},
 		}
 		v.pools[name] = p
+		old, ok := last.Pool(name)
+		same := ok && sameOut && s.Registry.Pool(name).Same(last.snapshot.registry.Pool(name))
+		if same {
+			p.capacity = old.capacity
+		}
 		if svc.Keyed {
 			continue
 		}
-		old, ok := last.Pool(name)
-		if ok && sameOut && !old.Service.Keyed && s.Registry.Pool(name).Same(last.snapshot.registry.Pool(name)) {
+		if same && !old.Service.Keyed {
 			p.Targets = old.Targets
 			continue
 		}
--- a/viewer/builder_test.go
+++ b/viewer/builder_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -249,3 +250,69 @@
 		})
 	}
 }
+
+// Guards against a capacity that counts targets which take no requests, or that stays as it was when a target leaves.
+func TestCapacityFollowsTargets(t *testing.T) {
+	c := qt.New(t)
+	for _, keyed := range []bool{false, true} {
+		b := Builder{
+			Cacher: cacher.Cacher{
+				Decode: func(registrar.Document) (*matcher.Table, error) {
+					return matcher.New(1, nil, map[string]matcher.Service{
+						"desk": {
+							Name:  "desk",
+							Keyed: keyed,
+						},
+					}, matcher.Limits{}), nil
+				},
+			},
+		}
+		var s applier.State
+		capacity := func(changes ...registrar.Change) Capacity {
+			for _, change := range changes {
+				s.Index++
+				s.Registry = s.Registry.Apply(s.Index, change)
+			}
+			v, err := b.Build(&s, time.UnixMilli(1))
+			c.Assert(err, qt.IsNil)
+			pool, ok := v.Pool("desk")
+			c.Assert(ok, qt.IsTrue)
+			return pool.Capacity()
+		}
+		announce := func(port uint16, cold, draining bool) registrar.Change {
+			return registrar.Change{
+				Announce: &registrar.Target{
+					Incarnation: registrar.Incarnation{
+						ID: strconv.Itoa(int(port)),
+					},
+					Service:  "desk",
+					Addr:     netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
+					Slots:    3,
+					Cold:     cold,
+					Draining: draining,
+				},
+			}
+		}
+		c.Assert(capacity(registrar.Change{
+			PutTable: &registrar.PutTableMsg{
+				Version: 1,
+			},
+		}), qt.Equals, Capacity{})
+		c.Assert(capacity(announce(1, false, false), announce(2, false, false), announce(3, true, false)), qt.Equals, Capacity{
+			Warm: 6,
+			Cold: 1,
+		})
+		rate := registrar.Change{
+			Rate: &registrar.RateMsg{
+				Ratings: []registrar.Rating{{
+					Incarnation: registrar.Incarnation{
+						ID: "1",
+					},
+					Slowness: 1.5,
+				}},
+			},
+		}
+		c.Assert(capacity(rate).Warm, qt.Equals, 5.0)
+		c.Assert(capacity(announce(2, false, true)).Warm, qt.Equals, 2.0)
+	}
+}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -42,6 +42,7 @@
 	Targets []Target
 
 	snapshot *snapshot
+	capacity *capacityCache
 }
 
 // Target is what a host needs to send requests to a target.
