--- a/forwarder/load_test.go
+++ b/forwarder/load_test.go
@@ -225,3 +225,15 @@
 	c.Assert(n.Load() >= 43 && n.Load() <= 44, qt.IsTrue, qt.Commentf("%d", n.Load()))
 	c.Assert(len(delays) >= 20, qt.IsTrue, qt.Commentf("%d", len(delays)))
 }
+
+// Guards against a refusal, which says that nothing ran, for a request that may have run at a service without room.
+func TestRequestThatMayHaveRunIsNotRefusedForLoad(t *testing.T) {
+	c := qt.New(t)
+	b := slow(c, 1, 50)
+	var n atomic.Int32
+	b.target("a", "tally", hangUp(&n))
+	b.own("tally", "a")
+	a, _ := b.timedSend()
+	c.Assert(a.Status, qt.Equals, http.StatusBadGateway)
+	c.Assert(n.Load(), qt.Equals, int32(1))
+}
--- a/forwarder/timeout_test.go
+++ b/forwarder/timeout_test.go
@@ -38,6 +38,14 @@
 			from: 3 * time.Second,
 			most: 0.1,
 		},
+		"callers repeat at once": {
+			next: func(time.Duration) (time.Duration, bool) {
+				if random.IntN(3) == 0 {
+					return full - time.Duration(random.IntN(int(minOverloadDelay))), false
+				}
+				return full, false
+			},
+		},
 		"outage": {
 			next: func(after time.Duration) (time.Duration, bool) {
 				if after > 5*time.Second && after < 20*time.Second && random.IntN(4) > 0 {
