--- a/forwarder/load_test.go
+++ b/forwarder/load_test.go
@@ -232,4 +232,5 @@
 	b.own("tally", "a")
 	a, _ := b.timedSend()
 	c.Assert(a.Status, qt.Equals, http.StatusBadGateway)
+	c.Assert(n.Load(), qt.Equals, int32(1))
 }
