--- a/director/entry.go
+++ b/director/entry.go
@@ -141,6 +141,7 @@
 		ViewAge:     e.stateAge,
 		Meter:       &e.meter,
 		Arrivals:    &e.loads,
+		Demand:      e.loads.prioritized,
 		Quarantiner: &e.suspects,
 		Dial:        d.dialTarget,
 		Links:       e.links.detector,
--- a/director/loads.go
+++ b/director/loads.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"bramleyline.example/bramleyline/aggregator"
+	"bramleyline.example/bramleyline/prioritizer"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/viewer"
@@ -355,3 +356,15 @@
 func (l *loads) Demand(service string) (byPriority []aggregator.Demand, age time.Duration, ok bool) {
 	return l.demand(time.Now(), service)
 }
+
+// prioritized returns the demand of all hosts for a service in the form that forwarder.Options.Demand has.
+func (l *loads) prioritized(service string) (byPriority []prioritizer.Demand, age time.Duration, ok bool) {
+	demands, age, ok := l.Demand(service)
+	for _, d := range demands {
+		byPriority = append(byPriority, prioritizer.Demand{
+			Priority: d.Priority,
+			Work:     d.BusySlots,
+		})
+	}
+	return byPriority, age, ok
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/prioritizer"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/retrier"
@@ -63,6 +64,9 @@
 	Meter Meter
 	// Arrivals receives the arriving work of all services; it may be nil.
 	Arrivals ArrivalMeter
+	// Demand returns the demand of all hosts for a service, by priority, and its age; ok is false if it is not known. It may
+	// be nil.
+	Demand func(service string) (byPriority []prioritizer.Demand, age time.Duration, ok bool)
 	// Limits bounds retries, requests to cold targets and requests to owners that are leaving.
 	Limits Limits
 }
@@ -104,6 +108,10 @@
 	serviceTimes  sync.Map // route to *serviceTimeEstimate
 	splits        sync.Map // route to *weightedRoundRobin
 	uploads       uploads
+	loads         sync.Map // service to *serviceLoad
+	timeouts      sync.Map // route to *timeoutEstimate
+	// waiting is the number of requests that wait for a shorter queue.
+	waiting atomic.Int32
 }
 
 // serviceTimeEstimate is the expected service time of the requests of one route, an exponentially weighted moving
