--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// usableShare is the part of the capacity up to which requests are admitted: above it, queues grow faster than they
-	// bring answers.
-	usableShare = 0.85
+	// usableShare is the load, as a part of the capacity, up to which requests are admitted. It is above one, because targets
+	// queue what waves of some seconds bring, and the capacity counts slow periods that are partly over when a queue builds up:
+	// refusing from 0.85 on cost callers more than the queues did.
+	usableShare = 1.15
 	// minShareFactor is the least share of a priority, as a part of the share of all work together. A quarter of the
 	// requests is required; shares are of work, so there is a margin for routes with different service times.
 	minShareFactor = 0.3
@@ -129,6 +130,10 @@
 		return shares{least: 1}, 0
 	}
 	pressure := total / capacity
+	if len(demand) == 1 {
+		// No other requests are served instead of a refused one, and targets refuse what they cannot queue.
+		return shares{least: 1}, pressure
+	}
 	s := shares{
 		least: minShareFactor * min(1, 1/pressure),
 	}
