Pace targets that start or recover

Cause: a target that joins, becomes warm or returns from backoff gets its full share at once, before anything is known of how it answers. Change: package ramper computes a pace from time and observations. selector multiplies weights by it, and lessor multiplies capacities by its steps; planner fills targets in a ramp step by step.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -307,6 +307,9 @@
 		Pending:    s.proposalPending,
 		Estimators: s.estimators,
 	})
+	for _, p := range e.Paces {
+		s.logPace(p)
+	}
 	for _, c := range e.Calls {
 		go s.call(s.lessor, s.leadingSince, c)
 	}
@@ -316,6 +319,20 @@
 	}
 }
 
+func (s *Coordinator) logPace(p lessor.PaceMsg) {
+	switch {
+	case p.Began != "":
+		counters.Add("startedRamps", 1)
+		s.opts.Log.Info("target in ramp", "target", p.Target.ID, "cause", p.Began, "pace", p.Pace, "step", p.Step)
+	case p.Setback != "":
+		counters.Add("loweredPaces", 1)
+		s.opts.Log.Info("pace of target lowered", "target", p.Target.ID, "reason", p.Setback, "pace", p.Pace, "step", p.Step)
+	default:
+		counters.Add("endedRamps", 1)
+		s.opts.Log.Info("target established", "target", p.Target.ID)
+	}
+}
+
 // followLeadership begins and ends what is kept for one term of leadership, and reports whether this host leads. While its
 // lease has lapsed and no other host was elected, it keeps everything and does nothing: grants are renewed without an entry
 // in the log, so a new Lessor would not know until when they last.
--- a/director/entry.go
+++ b/director/entry.go
@@ -109,6 +109,7 @@
 		memory: newEntryMemory(s.Direct.Memory),
 		selector: &selector.Selector{
 			DataCentre: s.DataCentre,
+			Log:        d.log,
 		},
 		changed: make(chan struct{}),
 	}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -61,6 +61,8 @@
 	answers float64
 	// priorAnswers is the weight, in answers, of the slowness that was assumed before the first answer.
 	priorAnswers float64
+	// total is the sum of the observed slownesses of all answers.
+	total float64
 }
 
 // Add records a request for key with its expected service time, which is its time at an idle target of usual slowness.
@@ -107,6 +109,7 @@
 	est := e.estimateOf(target)
 	// The prior estimate counts as some answers, so that the first few observed ones do not outweigh it.
 	est.answers += float64(count)
+	est.total += slowness * float64(count)
 	weight := answerWeight
 	if est.priorAnswers == ratedAnswers {
 		weight = ratedAnswerWeight
@@ -123,6 +126,15 @@
 	return 1
 }
 
+// Answers returns the number of answers of a target that ObserveSlowness recorded so far, and the sum of their slownesses.
+// The differences between two calls tell of the answers in between.
+func (e *Estimator) Answers(target string) (answers, totalSlowness float64) {
+	if est, ok := e.slownesses[target]; ok {
+		return est.answers, est.total
+	}
+	return 0, 0
+}
+
 // Measured reports whether the load has been measured for long enough at now to base decisions on it.
 func (e *Estimator) Measured(now time.Time) bool {
 	return !e.startedAt.IsZero() && now.Sub(e.startedAt) >= minObservation
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -61,6 +61,7 @@
 		return nil, x.rejected(ctx, t, reply)
 	}
 	took := time.Since(start)
+	res.Latency = took
 	if resp.Status >= http.StatusInternalServerError {
 		res.Failed = true
 		x.possibleRuns++
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -98,6 +98,8 @@
 type Effects struct {
 	Calls   []CallMsg
 	Changes []registrar.Change
+	// Paces are changes of paces, for the log.
+	Paces []PaceMsg
 }
 
 // Lessor is the lease manager of one term of leadership. Make it with New. It is not safe for concurrent use.
@@ -122,6 +124,9 @@
 	// refenced holds the services whose ranges got new fences in this term, or needed none.
 	refenced map[string]bool
 	scans    map[string]scan
+	// paces holds the paces of the targets of the keyed services, and pacedAt when they were last updated, by service.
+	paces   map[registrar.Incarnation]*keyedPace
+	pacedAt map[string]time.Time
 	// scanNeeded says that a call was answered after which a scan may find something to do.
 	scanNeeded bool
 	// scanDelayed says that a needed scan was put off in this tick, because the last one was too recent.
@@ -170,6 +175,8 @@
 		joinedAt:    make(map[registrar.Incarnation]time.Time),
 		refenced:    make(map[string]bool),
 		scans:       make(map[string]scan),
+		paces:       make(map[registrar.Incarnation]*keyedPace),
+		pacedAt:     make(map[string]time.Time),
 	}
 }
 
@@ -210,6 +217,7 @@
 	l.now, l.view, l.effects = now, v, Effects{}
 	l.recordJoins()
 	for _, service := range v.Services {
+		l.updatePaces(service)
 		l.tickService(service)
 	}
 	l.scanNeeded, l.scanDelayed = l.scanDelayed, false
@@ -357,6 +365,7 @@
 	var all []planner.Target
 	e := l.view.Estimators[service]
 	warm := 0
+	floor := l.paceFloor(service)
 	for _, t := range l.view.Registry.Pool(service).All() {
 		slowness := 1.0
 		if t.Slowness > 0 {
@@ -370,10 +379,12 @@
 		if !closed {
 			warm++
 		}
+		pace, filling := l.pace(service, t.Incarnation, floor)
 		all = append(all, planner.Target{
 			Incarnation: t.Incarnation,
-			Capacity:    float64(max(1, t.Slots)) / slowness,
+			Capacity:    float64(max(1, t.Slots)) / slowness * pace,
 			MaxLoad:     maxLoad(t, e),
+			Filling:     filling,
 			NoNewKeys:   closed,
 		})
 	}
--- a/lessor/message.go
+++ b/lessor/message.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"bramleyline.example/bramleyline/ramper"
 	"bramleyline.example/bramleyline/registrar"
 )
 
@@ -55,3 +56,14 @@
 	// Err is why the call was not carried out, for the log.
 	Err error
 }
+
+// PaceMsg tells of the begin or end of a target's ramp, or of a setback.
+type PaceMsg struct {
+	Target registrar.Incarnation
+	// Began is the cause if the ramp began, Setback the reason if the pace was lowered. Both are empty if the ramp ended.
+	Began   ramper.Cause
+	Setback ramper.Setback
+	Pace    float64
+	// Step is the factor on the capacity of the target.
+	Step float64
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,6 +35,9 @@
 	minCapacity = 1e-6
 	// overloadDeviations is what noiseDeviations is, for the load of a target with a MaxLoad.
 	overloadDeviations = 1
+	// fillUtilization is the fraction of the mean utilization below which a Filling target gets keys. Between two steps of its
+	// capacity, which differ by a factor of two, its load settles.
+	fillUtilization = 0.55
 	// minOverloadMove is the least load, as a fraction of the capacity of the destination, that is moved away from a target
 	// above its MaxLoad at once, however busy the other targets are.
 	minOverloadMove = 0.05
@@ -48,6 +51,9 @@
 	// MaxLoad is the greatest load that the target may get, in busy slots; zero means that only Capacity bounds it. What it
 	// has above that is moved away even if no target is busy.
 	MaxLoad float64
+	// Filling says that Capacity rises in steps, because the target joined or recovered. It gets keys up to its part of the
+	// load however low that is, and only gives keys to others if it is too busy.
+	Filling bool
 	// NoNewKeys says that keys may be moved away from the target but none are assigned or moved to it.
 	NoNewKeys bool
 }
@@ -272,8 +278,18 @@
 		uneven := source.utilization() > busyUtilization && p.utilizationLowerBound(source) > imbalanceFactor*mean &&
 			source.utilization()-dest.utilization() > minUtilizationGap
 		overloaded := p.overloaded(source)
-		if !empty && !uneven && !overloaded {
-			break
+		if !uneven && !overloaded {
+			if filling := p.filling(all, mean); !empty && filling != nil {
+				dest, empty = filling, true
+			}
+			if !empty || source == dest {
+				break
+			}
+			if source.Filling {
+				// Its own keys have just been moved to it, or will be.
+				source.exhausted = true
+				continue
+			}
 		}
 		want := min((source.utilization()-mean)*source.Capacity, (mean-dest.utilization())*dest.Capacity)
 		if overloaded {
@@ -307,6 +323,20 @@
 	return moves
 }
 
+// filling returns the Filling target that is the furthest below its part of the load, nil if none is clearly below it.
+func (p *Planner) filling(all []*targetState, mean float64) *targetState {
+	var best *targetState
+	for _, st := range all {
+		if !st.Filling || st.NoNewKeys || st.load+math.Sqrt(st.load*p.Dispersion) >= fillUtilization*mean*st.Capacity {
+			continue
+		}
+		if best == nil || st.utilization() < best.utilization() {
+			best = st
+		}
+	}
+	return best
+}
+
 // hottestKeyToIdlest returns the hottest key of a busy target, and the target whose utilization is the lowest with that key
 // added. The utilization of that target may rise above the others', so that other keys are moved away from it, but it stays
 // at least minUtilizationGap below the utilization that source has before the move.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/viewer"
 )
@@ -72,9 +74,13 @@
 	DataCentre string
 	// Random is the source of the draws, for tests; nil means the generator of math/rand/v2.
 	Random *rand.Rand
+	// Log may be nil.
+	Log *log.Logger
 
 	mu    sync.Mutex
 	stats map[registrar.Incarnation]*targetStats
+	// pools holds the state of the paces of each service.
+	pools map[string]*poolPace
 }
 
 // targetStats holds the statistics of one incarnation of a target.
@@ -94,6 +100,7 @@
 	lastUsedAt   time.Time
 	// coldRequests are the times of the latest requests that were sent while the target was cold.
 	coldRequests []time.Time
+	targetPace
 }
 
 func (s *Selector) targetStats(inc registrar.Incarnation) *targetStats {
@@ -170,18 +177,20 @@
 	defer s.mu.Unlock()
 	var local, overall weightedPair
 	var backedOff candidate
+	pace := s.poolPace(now, p.Service.Name, n.Work)
 	for i := range p.Targets {
 		t := &p.Targets[i]
+		st := s.targetStats(t.Incarnation)
+		s.see(now, pace, st, t)
 		if !usable(t) || t.Cold || slices.Contains(tried, t.Incarnation) {
 			continue
 		}
-		st := s.targetStats(t.Incarnation)
 		score := float64(st.estimate(now, t, n.Work).Total) * (1 + failurePenalty*st.failureRate) * s.jitter()
 		if now.Before(st.backoffUntil) {
 			backedOff.offer(t, score)
 			continue
 		}
-		capacity := float64(max(1, t.Slots)) / (ratedSlowness(t) * st.observedSlowness)
+		capacity := float64(max(1, t.Slots)) / (ratedSlowness(t) * st.observedSlowness) * s.pace(now, pace, st, t)
 		if t.DataCentre == s.DataCentre {
 			draw := s.expFloat64() / capacity
 			local.offer(t, score, draw)
@@ -271,6 +280,7 @@
 	for _, st := range s.stats {
 		st.unanswered, st.failureRate = 0, 0
 		st.backoffUntil, st.nextProbeAt = time.Time{}, time.Time{}
+		st.forgetBackoff()
 	}
 }
 
@@ -289,6 +299,9 @@
 	// target. It is zero if there was no answer or the request had to queue. Work is the expected service time.
 	Took time.Duration
 	Work time.Duration
+	// Latency is the time from sending the request to the end of the answer, with everything included; zero if there was no
+	// answer.
+	Latency time.Duration
 	// Load is the load that the answer reported, nil if none.
 	Load *Load
 	// Failed is true if the target failed or rejected the request, Unanswered if no answer came.
@@ -305,6 +318,7 @@
 	if r.Load != nil {
 		st.load, st.loadReceivedAt = *r.Load, now
 	}
+	s.observePace(now, st, inc, r)
 	failed := 0.0
 	if r.Failed || r.Unanswered {
 		failed = 1
@@ -313,6 +327,7 @@
 	if r.Unanswered {
 		st.unanswered++
 		st.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(st.unanswered-1, 8)))
+		st.inBackoff = true
 		return
 	}
 	st.unanswered = 0
@@ -345,8 +360,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for inc, st := range s.stats {
-		if st.inFlight == 0 && st.lastUsedAt.Before(before) {
+		if st.inFlight > 0 || !st.lastUsedAt.Before(before) {
+			continue
+		}
+		if st.seenAt.Before(before) {
 			delete(s.stats, inc)
+			continue
+		}
+		// Without its pace, the target would count as new.
+		s.stats[inc] = &targetStats{
+			observedSlowness: 1,
+			targetPace:       st.targetPace,
 		}
 	}
+	s.forgetPools(before)
 }
