--- a/lessor/pace.go
+++ b/lessor/pace.go
@@ -15,6 +15,9 @@
 	// stops the rise of its pace. Hosts report only answers without a queue. The next good answer ends the stop, so it costs
 	// little if the target was silent by chance.
 	expectedAnswers = 2
+	// settleTime is how long a target is still filled at its full capacity after its ramp. The estimated slowness, which
+	// lowers the capacity too, falls slowly: each answer has a weight of a twentieth or less.
+	settleTime = 20 * time.Second
 )
 
 // keyedPace is the state of the pace of one target of a keyed service.
@@ -22,6 +25,8 @@
 	ramp ramper.Ramp
 	// step is the factor on the capacity of the target while it is in a ramp.
 	step float64
+	// fillUntil is until when the target is filled after its ramp.
+	fillUntil time.Time
 	// wasCold and wasUnresponsive say what the target was at the last update.
 	wasCold         bool
 	wasUnresponsive bool
@@ -38,12 +43,15 @@
 	return e != nil && e.MeanServiceTime() >= ramper.MinServiceTime
 }
 
-// pace returns the factor on the capacity of a target, and whether the target is in a ramp.
+// pace returns the factor on the capacity of a target, and whether the target is to be filled up to it.
 func (l *Lessor) pace(service string, inc registrar.Incarnation, floor float64) (pace float64, filling bool) {
 	p, ok := l.paces[inc]
-	if !ok || !p.ramp.Active() || !l.pacesApply(service) {
+	if !ok || !l.pacesApply(service) {
 		return 1, false
 	}
+	if !p.ramp.Active() {
+		return 1, l.now.Before(p.fillUntil)
+	}
 	return max(p.step, floor), true
 }
 
@@ -65,8 +73,8 @@
 	return ramper.Floor(ramping / all)
 }
 
-// updatePaces updates the paces of the targets of a service, and begins the ramps of targets that joined, became warm or answer again.
-// Targets that are there when the leadership begins, or before any key has an owner, count as established.
+// updatePaces updates the paces of the targets of a service, and begins the ramps of targets that joined, became warm or
+// answer again. Targets that are there when the leadership begins, or before any key has an owner, count as established.
 func (l *Lessor) updatePaces(service string) {
 	last, known := l.pacedAt[service]
 	if known && l.now.Sub(last) < paceInterval {
@@ -152,6 +160,7 @@
 	}
 	pace := p.ramp.Pace(l.now)
 	p.step = ramper.Step(p.step, pace)
+	p.fillUntil = l.now.Add(settleTime)
 	if setback != "" || !p.ramp.Active() {
 		l.paceChanged(service, PaceMsg{
 			Target:  t.Incarnation,
