--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	"bramleyline.example/bramleyline/adjudicator"
+	"bramleyline.example/bramleyline/aggregator"
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/cacher"
 	"bramleyline.example/bramleyline/controller"
@@ -54,8 +55,10 @@
 	Call(ctx context.Context, c lessor.CallMsg, mayCall func() bool) lessor.CallResultMsg
 }
 
-// Options are the dependencies and settings of a Coordinator. All are required.
+// Options are the dependencies and settings of a Coordinator. All but Name are required.
 type Options struct {
+	// Name is the name of this control host. If it is empty, the host does not ask others for the loads of targets.
+	Name       string
 	Controller *controller.Controller
 	Caller     Caller
 	// Decode decodes a stored traffic table.
@@ -98,6 +101,8 @@
 	limitsAt      time.Time
 	relay         relay
 	departures    departures
+	// loads holds the loads of targets and the demand that entry hosts report.
+	loads aggregator.Aggregator
 
 	startOnce sync.Once
 	ctx       context.Context
@@ -198,6 +203,7 @@
 	defer close(s.done)
 	var relays sync.WaitGroup
 	relays.Go(s.relayReports)
+	relays.Go(s.exchangeLoads)
 	defer relays.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -306,10 +312,12 @@
 		Out:        func(dc string) bool { return st.DataCentres[dc].Out },
 		Pending:    s.proposalPending,
 		Estimators: s.estimators,
+		Objective:  s.table.TightestObjective,
 	})
 	for _, p := range e.Paces {
 		s.logPace(p)
 	}
+	s.reportPlans(e.Plans)
 	for _, c := range e.Calls {
 		go s.call(s.lessor, s.leadingSince, c)
 	}
@@ -333,6 +341,26 @@
 	}
 }
 
+// reportPlans counts and logs planned moves.
+func (s *Coordinator) reportPlans(plans []lessor.PlanMsg) {
+	for _, m := range plans {
+		counters.Add("moves", int64(m.Moves))
+		counters.Add("shareMoves", int64(m.Share))
+		if m.Share > 0 {
+			s.opts.Log.Info("moves of keys for shares", "service", m.Service, "moves", m.Share)
+		}
+		if m.Hot == 0 {
+			continue
+		}
+		counters.Add("hotSpans", int64(len(m.HotSpans)))
+		counters.Add("hotMoves", int64(m.Hot))
+		for _, h := range m.HotSpans {
+			s.opts.Log.Info("hot span", "service", m.Service, "from", h.From, "to", h.To)
+		}
+		s.opts.Log.Info("hot spans are split", "service", m.Service, "spans", len(m.HotSpans), "load", m.HotLoad, "moves", m.Hot)
+	}
+}
+
 // followLeadership begins and ends what is kept for one term of leadership, and reports whether this host leads. While its
 // lease has lapsed and no other host was elected, it keeps everything and does nothing: grants are renewed without an entry
 // in the log, so a new Lessor would not know until when they last.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,6 +30,8 @@
 	idle := sel.Estimate(start, t, res.Work).Wait == 0
 	sel.Begin(start, t.Incarnation)
 	defer func() { sel.End(time.Now(), t.Incarnation, res) }()
+	x.enter(t)
+	defer x.leave()
 
 	tracked := x.trackAttempt(t, start)
 	if l := x.f.opts.Links; l != nil {
@@ -41,6 +43,7 @@
 	}
 	if fault != nil {
 		tracked.failed(fault)
+		x.observeUploadFault(t, fault)
 		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
 		return nil, x.noAnswer(t, fault)
 	}
@@ -56,11 +59,12 @@
 	}
 	tracked.answered(resp.Status, reply.NotRun)
 	x.observeLimit(t, reply)
+	x.f.serviceLoad(x.service.Name).observeVariation(t, reply.Load)
 	if reply.NotRun {
 		res.Failed = !reply.Misdirected
 		return nil, x.rejected(ctx, t, reply)
 	}
-	took := time.Since(start)
+	took := time.Since(start) - resp.LinkWait
 	res.Latency = took
 	if resp.Status >= http.StatusInternalServerError {
 		res.Failed = true
@@ -76,6 +80,7 @@
 			x.reportSlowness(t, res)
 			res.Took = normalizedTime(took, res.Load)
 			serviceTime.update(res.Took)
+			x.f.serviceLoad(x.service.Name).observe(res.Took)
 		}
 	}
 	x.result = "answered"
@@ -204,7 +209,7 @@
 		if freeSlots {
 			x.retryAfter = retryAfterRejection
 		}
-		return freeSlots || !x.service.Keyed
+		return freeSlots || !x.service.Keyed || x.mayRetryFullQueue(r.Load)
 	}
 	x.recordFailure(t, sender.ReasonStaleRoute, "target is another one or does not hold the key")
 	if !x.service.Keyed {
@@ -212,6 +217,15 @@
 	}
 	x.ownerStale = true
 	x.staleAttempts++
+	if x.load != nil {
+		// A target that rejects the key twice has no grant on its way, so the request waits for another owner.
+		repeated := x.staleTarget == t.Incarnation
+		x.staleTarget = t.Incarnation
+		if !repeated && !x.awaitOwner(ctx, t, staleWait) {
+			x.ownerStale = false
+		}
+		return x.staleAttempts < maxLoadStaleAttempts && ctx.Err() == nil
+	}
 	v, changed := x.f.opts.View()
 	if owner, _ := x.usableOwner(v, time.Now()); owner == nil && !x.awaitView(ctx, changed, grantWait) {
 		// No other owner is known. The target's grant may still have been in flight, so the same target is tried again.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,11 +17,13 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/matcher"
+	"bramleyline.example/bramleyline/prioritizer"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/retrier"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/shaper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -56,8 +58,15 @@
 	Relay func(ctx context.Context, r *acceptor.Request, deadline time.Time) (*acceptor.Answer, *sender.Fault)
 	// Stopping describes the planned stop of this host, and reports whether one is in progress. It may be nil.
 	Stopping func() (Stop, bool)
+	// Link schedules the host's link; nil, or one that is not active, means that uploads are sent like other requests.
+	Link *shaper.Shaper
 	// Meter receives the demand and the observed times of keyed services; it may be nil.
 	Meter Meter
+	// Arrivals receives the arriving work of all services; it may be nil.
+	Arrivals ArrivalMeter
+	// Demand returns the demand of all hosts for a service, by priority, and its age; ok is false if it is not known. It may
+	// be nil.
+	Demand func(service string) (byPriority []prioritizer.Demand, age time.Duration, ok bool)
 	// Limits bounds retries, requests to cold targets and requests to owners that are leaving.
 	Limits Limits
 }
@@ -98,6 +107,11 @@
 	retryBudgets  sync.Map // service to *retrier.Budget
 	serviceTimes  sync.Map // route to *serviceTimeEstimate
 	splits        sync.Map // route to *weightedRoundRobin
+	uploads       uploads
+	loads         sync.Map // service to *serviceLoad
+	timeouts      sync.Map // route to *timeoutEstimate
+	// waiting is the number of requests that wait for a shorter queue.
+	waiting atomic.Int32
 }
 
 // serviceTimeEstimate is the expected service time of the requests of one route, an exponentially weighted moving
@@ -121,6 +135,7 @@
 		req: r,
 	}
 	defer x.release()
+	defer x.leave()
 	return x.run(ctx)
 }
 
@@ -132,6 +147,7 @@
 		relayed: true,
 	}
 	defer x.release()
+	defer x.leave()
 	return x.run(ctx)
 }
 
--- a/lessor/pace_test.go
+++ b/lessor/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"bramleyline.example/bramleyline/estimator"
+	"bramleyline.example/bramleyline/ramper"
 	"bramleyline.example/bramleyline/registrar"
 )
 
@@ -174,3 +176,41 @@
 	c.Assert(p.share(joined.ID) >= before, qt.IsTrue)
 	c.Assert(moves <= 2, qt.IsTrue, qt.Commentf("%d moves", moves))
 }
+
+// Guards against shares that undo the steps: a target in a ramp whose share is its full one or nearly none, or whose missing
+// share the others do not get.
+func TestSharesFollowTheSteps(t *testing.T) {
+	c := qt.New(t)
+	p := newPaceSimulation(20, paceServiceTime)
+	p.objectiveOf = func(string) time.Duration { return 2 * paceServiceTime }
+	joined := p.join(1, false)[0]
+	p.tick()
+	p.succeed(300 * time.Millisecond)
+	for _, step := range []float64{0.125, 0.25, 0.5, 1} {
+		p.lessor.paces[joined].step = step
+		targets := p.lessor.targets("tally")
+		sums := p.lessor.loadSums("tally")
+		c.Assert(p.lessor.setShares("tally", targets, sums), qt.IsTrue)
+		total, other := 0.0, 0.0
+		for _, tt := range targets {
+			total += tt.Share
+			if tt.Incarnation != joined {
+				other = tt.Share
+			}
+		}
+		for _, tt := range targets {
+			if tt.Incarnation == joined {
+				c.Assert(math.Abs(tt.Share/other-step) < 0.05*step, qt.IsTrue, qt.Commentf("step %g: %g", step, tt.Share/other))
+			}
+		}
+		load := sums[estimator.Keys]
+		c.Assert(math.Abs(total-load) < 0.01*load, qt.IsTrue, qt.Commentf("step %g: %g of %g", step, total, load))
+	}
+	for range 30 {
+		p.lessor.paces[joined].ramp.Start(p.now, ramper.CauseJoined)
+		p.lessor.paces[joined].step = 0.125
+		p.succeed(300 * time.Millisecond)
+	}
+	share := p.fairShare([]registrar.Incarnation{joined})
+	c.Assert(share > 0 && share < 0.3, qt.IsTrue, qt.Commentf("%g of a fair share", share))
+}
--- a/lessor/plan_test.go
+++ b/lessor/plan_test.go
@@ -22,6 +22,8 @@
 	index  uint64
 	// delayedAnswers are the answers to releases that wait for requests in flight, in order of time.
 	delayedAnswers []delayedAnswer
+	// objectiveOf is View.Objective.
+	objectiveOf func(string) time.Duration
 }
 
 // delayedAnswer is an answer that arrives at a later time.
@@ -85,6 +87,7 @@
 		Estimators: map[string]*estimator.Estimator{
 			"tally": &p.e,
 		},
+		Objective: p.objectiveOf,
 	})
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -323,3 +323,31 @@
 	c.Assert(load["t04"] > 0.3, qt.IsTrue, qt.Commentf("%v", load))
 	c.Assert(load["t05"] > 0.5, qt.IsTrue, qt.Commentf("%v", load))
 }
+
+// Guards against a Filling target with the most ranges allowed that is chosen again and again, so that others are not filled.
+func TestFillingTargetWithMaxRangesGetsNoMore(t *testing.T) {
+	c := qt.New(t)
+	sums := loadSums(4, nil)
+	small := targets(equalCapacities(6)...)
+	small[4].Capacity, small[5].Capacity = 0.8, 1.6
+	p := Planner{
+		CumulativeLoad: sums,
+		Targets:        targets(equalCapacities(6)...),
+	}
+	p.Ranges = assignAll(sums, small)
+	p.Targets[4].Filling, p.Targets[5].Filling = true, true
+	moves := p.Plan(1)
+	c.Assert(moves, qt.HasLen, 1)
+	c.Assert(moves[0].To, qt.Equals, p.Targets[4].Incarnation)
+	for i, r := range p.Ranges {
+		if r.Owner == p.Targets[4].Incarnation {
+			rest := r
+			p.Ranges[i].To, rest.From = r.From, r.From+1
+			p.Ranges = append(p.Ranges, rest)
+		}
+	}
+	p.MaxRanges = 2
+	moves = p.Plan(1)
+	c.Assert(moves, qt.HasLen, 1)
+	c.Assert(moves[0].To, qt.Equals, p.Targets[5].Incarnation)
+}
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -52,14 +52,17 @@
 // targetPace is the state of the pace of a target.
 type targetPace struct {
 	ramp ramper.Ramp
+	// rampAt is when the ramp began. Loads that were reported before it say nothing of the target in its ramp.
+	rampAt time.Time
 	// seenAt is when the target was last in a pool, zero if it never was.
 	seenAt time.Time
 	// wasCold says that the target was cold when it was last seen.
 	wasCold bool
 	// inBackoff says that an attempt without an answer began a backoff that was not followed by a ramp yet.
 	inBackoff bool
-	// rated is the rated slowness of the target.
+	// rated is the rated slowness of the target, and slots the number of its slots.
 	rated float64
+	slots int
 	// paced says that the pace applies to the service of the target.
 	paced bool
 }
@@ -103,7 +106,8 @@
 func (s *Selector) see(now time.Time, p *poolPace, st *targetStats, t *viewer.Target) {
 	first := st.seenAt.IsZero()
 	becameWarm := st.wasCold && !t.Cold
-	st.seenAt, st.wasCold, st.rated, st.paced = now, t.Cold, ratedSlowness(t), p.applies()
+	st.seenAt, st.wasCold, st.paced = now, t.Cold, p.applies()
+	st.rated, st.slots = ratedSlowness(t), max(1, t.Slots)
 	if p.establishedUntil.IsZero() {
 		p.establishedUntil = now.Add(establishTime)
 	}
@@ -120,6 +124,7 @@
 
 func (s *Selector) startRamp(now time.Time, st *targetStats, inc registrar.Incarnation, cause ramper.Cause) {
 	st.inBackoff = false
+	st.rampAt = now
 	st.ramp.Start(now, cause)
 	if !st.paced {
 		return
@@ -197,6 +202,16 @@
 	}
 }
 
+// learnedReport returns a learned load as an observation, nil if the target was not seen yet. A load without slots has the
+// waiting requests among the running ones.
+func (st *targetStats) learnedReport(l Load) *ramper.Report {
+	if l.Slots == 0 {
+		l.Slots = st.slots
+		l.Waiting = max(0, l.Running+l.Waiting-st.slots)
+	}
+	return st.report(&l)
+}
+
 // forgetBackoff forgets a backoff and a ramp that came of one.
 func (p *targetPace) forgetBackoff() {
 	p.inBackoff = false
--- a/selector/pace_test.go
+++ b/selector/pace_test.go
@@ -162,3 +162,38 @@
 	h.run(time.Second, nil)
 	c.Assert(inRamp(), qt.Equals, 0)
 }
+
+// Guards against a queue that only other hosts saw and that does not lower the pace, and against loads that count although they
+// are from before the ramp, older than an own answer, or already known.
+func TestLearnedLoadLowersThePaceOnce(t *testing.T) {
+	c := qt.New(t)
+	h := newPaceHost(9, 550*time.Millisecond)
+	h.add(1)
+	h.run(2500*time.Millisecond, nil)
+	inc := h.pool.Targets[9].Incarnation
+	st := h.stats[inc]
+	pace := func() float64 { return st.ramp.Pace(h.now) }
+	learn := func(at time.Time) {
+		h.Learn([]Learned{{
+			Target:     inc,
+			ReportedAt: at,
+			Load: Load{
+				Running:  8,
+				Slowness: 1,
+			},
+		}})
+	}
+	before := pace()
+	learn(st.rampAt)
+	c.Assert(pace(), qt.Equals, before)
+	learn(h.now)
+	c.Assert(pace(), qt.Equals, before/2)
+	h.now = h.now.Add(ms(400))
+	learn(h.now.Add(-ms(400)))
+	c.Assert(pace(), qt.Equals, before/2)
+	st.loadReceivedAt = h.now
+	learn(h.now.Add(-ms(100)))
+	c.Assert(pace(), qt.Equals, before/2)
+	learn(h.now.Add(ms(1)))
+	c.Assert(pace(), qt.Equals, before/4)
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -76,6 +76,8 @@
 	Random *rand.Rand
 	// Log may be nil.
 	Log *log.Logger
+	// Slow receives a value when a target reports that it has become slow, unless one is waiting there. It may be nil.
+	Slow chan struct{}
 
 	mu    sync.Mutex
 	stats map[registrar.Incarnation]*targetStats
@@ -101,6 +103,9 @@
 	// coldRequests are the times of the latest requests that were sent while the target was cold.
 	coldRequests []time.Time
 	targetPace
+	// learned is the load that other hosts observed, and begunAt holds the times of this host's requests in flight.
+	learned Learned
+	begunAt []time.Time
 }
 
 func (s *Selector) targetStats(inc registrar.Incarnation) *targetStats {
@@ -139,16 +144,18 @@
 	slots := max(1, t.Slots)
 	slowness := ratedSlowness(t)
 	busySlots := defaultUtilization * float64(slots)
-	if age := now.Sub(st.loadReceivedAt); age < loadMaxAge {
-		weight := 1 - float64(age)/float64(loadMaxAge)
-		if st.load.Slots > 0 {
-			slots = st.load.Slots
+	load, reportedAt := st.newestLoad()
+	if weight := freshness(now, reportedAt); weight > 0 {
+		if load.Slots > 0 {
+			slots = load.Slots
 		}
-		busySlots += weight * (float64(st.load.Running+st.load.Waiting) - busySlots)
-		if st.load.Slowness > 0 {
-			slowness += weight * (st.load.Slowness - slowness)
+		if load.Slowness > 0 {
+			slowness += weight * (load.Slowness - slowness)
 		}
 	}
+	if busy, at := st.newestBusy(now); freshness(now, at) > 0 {
+		busySlots += freshness(now, at) * (busy - busySlots)
+	}
 	busySlots = max(busySlots, float64(st.inFlight))
 	adjustedTime := float64(serviceTime) * st.observedSlowness * slowness
 	wait := max(0, busySlots+1-float64(slots)) / float64(slots) * adjustedTime
@@ -185,12 +192,13 @@
 		if !usable(t) || t.Cold || slices.Contains(tried, t.Incarnation) {
 			continue
 		}
-		score := float64(st.estimate(now, t, n.Work).Total) * (1 + failurePenalty*st.failureRate) * s.jitter()
+		e := st.estimate(now, t, n.Work)
+		score := float64(e.Total) * (1 + failurePenalty*st.failureRate) * s.jitter()
 		if now.Before(st.backoffUntil) {
 			backedOff.offer(t, score)
 			continue
 		}
-		capacity := float64(max(1, t.Slots)) / (ratedSlowness(t) * st.observedSlowness) * s.pace(now, pace, st, t)
+		capacity := st.drawWeight(now, t, n.Work, e) * s.pace(now, pace, st, t)
 		if t.DataCentre == s.DataCentre {
 			draw := s.expFloat64() / capacity
 			local.offer(t, score, draw)
@@ -290,6 +298,7 @@
 	defer s.mu.Unlock()
 	st := s.targetStats(inc)
 	st.inFlight++
+	st.begunAt = append(st.begunAt, now)
 	st.lastUsedAt = now
 }
 
@@ -315,7 +324,12 @@
 	defer s.mu.Unlock()
 	st := s.targetStats(inc)
 	st.inFlight--
+	// Which request ended is not known; at a target the oldest usually ends first.
+	if len(st.begunAt) > 0 {
+		st.begunAt = slices.Delete(st.begunAt, 0, 1)
+	}
 	if r.Load != nil {
+		s.signalSlow(now, st, r.Load)
 		st.load, st.loadReceivedAt = *r.Load, now
 	}
 	s.observePace(now, st, inc, r)
--- a/viewer/builder_test.go
+++ b/viewer/builder_test.go
@@ -249,3 +249,38 @@
 		})
 	}
 }
+
+// Guards against a capacity that counts targets which take no requests, or that stays as it was when a target changes.
+func TestCapacityFollowsTargets(t *testing.T) {
+	c := qt.New(t)
+	d, b := newDeployment(10, 1), newBuilder()
+	check := func(service string, warm float64, cold int) {
+		v, err := b.Build(d.state, time.UnixMilli(1))
+		c.Assert(err, qt.IsNil)
+		pool, ok := v.Pool(service)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(pool.Capacity(), qt.Equals, Capacity{
+			Warm: warm,
+			Cold: cold,
+		})
+	}
+	check("tally", 32, 0)
+	check("desk", 8, 0)
+	d.announce(4, 1, true)
+	check("desk", 4, 0)
+	d.commit(registrar.Change{
+		Rate: &registrar.RateMsg{
+			Ratings: []registrar.Rating{{
+				Incarnation: d.incarnations[0],
+				Slowness:    2,
+			}},
+		},
+	})
+	check("tally", 30, 0)
+	cold, _ := d.state.Registry.Target(d.incarnations[1].ID)
+	cold.Cold, cold.Seq = true, 2
+	d.commit(registrar.Change{
+		Announce: &cold,
+	})
+	check("tally", 26, 1)
+}
