--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -314,6 +314,9 @@
 		Estimators: s.estimators,
 		Objective:  s.table.TightestObjective,
 	})
+	for _, p := range e.Paces {
+		s.logPace(p)
+	}
 	s.reportPlans(e.Plans)
 	for _, c := range e.Calls {
 		go s.call(s.lessor, s.leadingSince, c)
@@ -324,6 +327,20 @@
 	}
 }
 
+func (s *Coordinator) logPace(p lessor.PaceMsg) {
+	switch {
+	case p.Began != "":
+		counters.Add("startedRamps", 1)
+		s.opts.Log.Info("target in ramp", "target", p.Target.ID, "cause", p.Began, "pace", p.Pace, "step", p.Step)
+	case p.Setback != "":
+		counters.Add("loweredPaces", 1)
+		s.opts.Log.Info("pace of target lowered", "target", p.Target.ID, "reason", p.Setback, "pace", p.Pace, "step", p.Step)
+	default:
+		counters.Add("endedRamps", 1)
+		s.opts.Log.Info("target established", "target", p.Target.ID)
+	}
+}
+
 // reportPlans counts and logs planned moves.
 func (s *Coordinator) reportPlans(plans []lessor.PlanMsg) {
 	for _, m := range plans {
--- a/director/entry.go
+++ b/director/entry.go
@@ -111,6 +111,7 @@
 		memory: newEntryMemory(s.Direct.Memory),
 		selector: &selector.Selector{
 			DataCentre: s.DataCentre,
+			Log:        d.log,
 			Slow:       make(chan struct{}, 1),
 		},
 		changed: make(chan struct{}),
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -65,6 +65,7 @@
 		return nil, x.rejected(ctx, t, reply)
 	}
 	took := time.Since(start) - resp.LinkWait
+	res.Latency = took
 	if resp.Status >= http.StatusInternalServerError {
 		res.Failed = true
 		x.possibleRuns++
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -145,6 +145,8 @@
 type Effects struct {
 	Calls   []CallMsg
 	Changes []registrar.Change
+	// Paces are changes of paces, for the log.
+	Paces []PaceMsg
 	// Plans reports the moves that were planned.
 	Plans []PlanMsg
 }
@@ -180,6 +182,9 @@
 	// refenced holds the services whose ranges got new fences in this term, or needed none.
 	refenced map[string]bool
 	scans    map[string]scan
+	// paces holds the paces of the targets of the keyed services, and pacedAt when they were last updated, by service.
+	paces   map[registrar.Incarnation]*keyedPace
+	pacedAt map[string]time.Time
 	// scanNeeded says that a call was answered after which a scan may find something to do.
 	scanNeeded bool
 	// scanDelayed says that a needed scan was put off in this tick, because the last one was too recent.
@@ -233,6 +238,8 @@
 		joinedAt: make(map[registrar.Incarnation]time.Time),
 		refenced: make(map[string]bool),
 		scans:    make(map[string]scan),
+		paces:    make(map[registrar.Incarnation]*keyedPace),
+		pacedAt:  make(map[string]time.Time),
 	}
 }
 
@@ -274,6 +281,7 @@
 	l.movesProposed = false
 	l.recordJoins()
 	for _, service := range v.Services {
+		l.updatePaces(service)
 		l.tickService(service)
 	}
 	l.scanNeeded, l.scanDelayed = l.scanDelayed, false
@@ -422,6 +430,7 @@
 	var all []planner.Target
 	e := l.view.Estimators[service]
 	warm := 0
+	floor := l.paceFloor(service)
 	for _, t := range l.view.Registry.Pool(service).All() {
 		slowness := 1.0
 		if t.Slowness > 0 {
@@ -435,10 +444,12 @@
 		if !closed {
 			warm++
 		}
+		pace, filling := l.pace(service, t.Incarnation, floor)
 		all = append(all, planner.Target{
 			Incarnation: t.Incarnation,
-			Capacity:    float64(max(1, t.Slots)) / slowness,
+			Capacity:    float64(max(1, t.Slots)) / slowness * pace,
 			MaxLoad:     maxLoad(t, e),
+			Filling:     filling,
 			NoNewKeys:   closed,
 		})
 	}
--- a/lessor/share.go
+++ b/lessor/share.go
@@ -22,7 +22,8 @@
 }
 
 // setShares sets the shares of targets for which the mean response time is least, and reports whether the service has shares.
-// Until the load is measured, they are the shares for firstUtilization.
+// Until the load is measured, they are the shares for firstUtilization. A target with a pace counts as that fraction of a target
+// of its speed: with a lower speed instead, it would get less than its pace, and without the pace, its share at once.
 func (l *Lessor) setShares(service string, targets []planner.Target, sums []float64) bool {
 	if !l.sharesApply(service) {
 		return false
@@ -32,18 +33,23 @@
 		Load: sums[estimator.Keys],
 	}
 	var open []int
-	capacity := 0.0
+	var paces []float64
+	capacity, unpaced := 0.0, 0.0
+	floor := l.paceFloor(service)
 	for i, t := range targets {
 		if t.NoNewKeys {
 			continue
 		}
 		reg, _ := l.view.Registry.Target(t.Incarnation.ID)
 		open = append(open, i)
+		pace, _ := l.pace(service, t.Incarnation, floor)
+		paces = append(paces, pace)
 		capacity += t.Capacity
+		unpaced += t.Capacity / pace
 		target := apportioner.Target{
 			Slots:    max(1, reg.Slots),
 			Slowness: e.SteadySlowness(t.Incarnation.ID),
-			MaxLoad:  t.MaxLoad,
+			MaxLoad:  t.MaxLoad / pace,
 		}
 		a.Targets = append(a.Targets, target)
 		targets[i].MarginalCost = target.MarginalCost
@@ -51,8 +57,12 @@
 	if !e.Measured(l.now) {
 		a.Load = firstUtilization * capacity
 	}
+	if capacity > 0 {
+		// At this load, targets without paces have the utilization that they have at the real load with the paces.
+		a.Load *= unpaced / capacity
+	}
 	for i, share := range a.Shares() {
-		targets[open[i]].Share = share
+		targets[open[i]].Share = share * paces[i]
 	}
 	return len(open) > 0
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -300,3 +300,54 @@
 	}
 	return load
 }
+
+// Guards against a target in a ramp that stays at its first keys while load is low, and against keys that are taken from it
+// for another one. Without Filling, nothing moves.
+func TestFillingTargetIsFilledAtLowLoad(t *testing.T) {
+	c := qt.New(t)
+	sums := loadSums(4, nil)
+	ts := targets(equalCapacities(6)...)
+	small := targets(equalCapacities(6)...)
+	small[4].Capacity, small[5].Capacity = 1.6, 1.6
+	ranges := assignAll(sums, small)
+	_, n := settle(sums, ts, ranges)
+	c.Assert(n, qt.Equals, 0)
+	ts[4].Filling, ts[5].Filling = true, true
+	ts[4].Capacity = 1
+	ranges, n = settle(sums, ts, ranges)
+	c.Assert(n > 0 && n < 10, qt.IsTrue, qt.Commentf("%d moves", n))
+	load := make(map[string]float64)
+	for _, r := range ranges {
+		load[r.Owner.ID] += sums[int(r.To)+1] - sums[r.From]
+	}
+	c.Assert(load["t04"] > 0.3, qt.IsTrue, qt.Commentf("%v", load))
+	c.Assert(load["t05"] > 0.5, qt.IsTrue, qt.Commentf("%v", load))
+}
+
+// Guards against a Filling target with the most ranges allowed that is chosen again and again, so that others are not filled.
+func TestFillingTargetWithMaxRangesGetsNoMore(t *testing.T) {
+	c := qt.New(t)
+	sums := loadSums(4, nil)
+	small := targets(equalCapacities(6)...)
+	small[4].Capacity, small[5].Capacity = 0.8, 1.6
+	p := Planner{
+		CumulativeLoad: sums,
+		Targets:        targets(equalCapacities(6)...),
+	}
+	p.Ranges = assignAll(sums, small)
+	p.Targets[4].Filling, p.Targets[5].Filling = true, true
+	moves := p.Plan(1)
+	c.Assert(moves, qt.HasLen, 1)
+	c.Assert(moves[0].To, qt.Equals, p.Targets[4].Incarnation)
+	for i, r := range p.Ranges {
+		if r.Owner == p.Targets[4].Incarnation {
+			rest := r
+			p.Ranges[i].To, rest.From = r.From, r.From+1
+			p.Ranges = append(p.Ranges, rest)
+		}
+	}
+	p.MaxRanges = 2
+	moves = p.Plan(1)
+	c.Assert(moves, qt.HasLen, 1)
+	c.Assert(moves[0].To, qt.Equals, p.Targets[5].Incarnation)
+}
--- a/selector/learn.go
+++ b/selector/learn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyline.example/bramleyline/ramper"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/viewer"
 )
@@ -36,17 +37,24 @@
 }
 
 // Learn takes the loads of targets that other hosts observed. A load or count that is older than the known one is ignored.
+// The paces of the targets are updated by loads that are newer than the answers to this host.
 func (s *Selector) Learn(learned []Learned) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range learned {
-		old := &s.targetStats(l.Target).learned
+		st := s.targetStats(l.Target)
+		old := &st.learned
 		old.Target = l.Target
 		if l.OthersAt.After(old.OthersAt) {
 			old.Others, old.OthersAt = l.Others, l.OthersAt
 		}
 		if l.ReportedAt.After(old.ReportedAt) {
 			old.Load, old.ReportedAt = l.Load, l.ReportedAt
+			if l.ReportedAt.After(st.loadReceivedAt) && l.ReportedAt.After(st.rampAt) {
+				s.observe(l.ReportedAt, st, l.Target, ramper.Observation{
+					Report: st.learnedReport(l.Load),
+				})
+			}
 		}
 	}
 }
