Check the target again after the wait for the link

Callers would see uploads fail at targets that had drained, been taken out, turned cold or lost the key while the body waited for the link, and uploads cut by the end of a planned stop.

Cause: the view and the stop were read before the wait, which can last up to the deadline of the request.

Change: forwarder.send sets Request.Check for bodies that may wait. It reads the newest view and the stop again and returns a fault of a request that has not run, after which the next target or owner is chosen, or the request refused. The fault does not count against the target.

TestTargetIsCheckedAgainAfterTheWaitForTheLink fails without the check and passes with it; the tests of forwarder pass.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -44,7 +44,8 @@
 	if fault != nil {
 		tracked.failed(fault)
 		x.observeUploadFault(t, fault)
-		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
+		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded &&
+			!unsentByChoice(fault) && ctx.Err() == nil
 		return nil, x.noAnswer(t, fault)
 	}
 	reply := x.f.opts.Codec.Reply(resp.Status, resp.Header)
@@ -136,6 +137,7 @@
 		Deadline:     x.deadline,
 		Connections:  x.maxConnections(),
 		SettleTime:   settleTime,
+		Check:        x.recheck(t),
 
 		UniqueIdentity: true,
 	})
@@ -192,8 +194,8 @@
 	x.recordFailure(t, f.Reason, f.Error())
 	if !f.MayHaveRun {
 		// The connection was refused or none was free. Another target may run the request, but a key has only one
-		// owner.
-		return !x.service.Keyed
+		// owner, unless the key has moved.
+		return !x.service.Keyed || unsentByChoice(f)
 	}
 	return x.route.Repeatable && !x.service.Keyed
 }
--- /dev/null
+++ b/forwarder/recheck.go
@@ -0,0 +1,65 @@
+package forwarder
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bramleyline.example/bramleyline/sender"
+	"bramleyline.example/bramleyline/shaper"
+	"bramleyline.example/bramleyline/viewer"
+)
+
+var (
+	errTargetLeft  = errors.New("target may not be used any more after the wait for the link")
+	errNoTimeToRun = errors.New("host stops too soon after the wait for the link")
+)
+
+// recheck returns the function that checks, once the body has waited for the link, whether it may still go to t. It is nil for
+// requests that do not wait.
+func (x *exchange) recheck(t *viewer.Target) func() error {
+	size := 0
+	for _, part := range x.req.Body {
+		size += len(part)
+	}
+	if !x.f.opts.Link.Active() || size <= shaper.LongBody {
+		return nil
+	}
+	return func() error {
+		if retryAfter, ok := x.timeInStop(); !ok {
+			x.retryAfter = retryAfter
+			return sender.NewFault(reasonStopping, http.StatusServiceUnavailable, errNoTimeToRun)
+		}
+		if !x.stillUsable(t) {
+			return sender.NewFault(sender.ReasonStaleRoute, http.StatusServiceUnavailable, errTargetLeft)
+		}
+		return nil
+	}
+}
+
+// stillUsable reports whether the newest view allows the request to go to t.
+func (x *exchange) stillUsable(t *viewer.Target) bool {
+	v, _ := x.f.opts.View()
+	if x.service.Keyed {
+		owner, _ := x.usableOwner(v, time.Now())
+		return owner != nil && owner.Incarnation == t.Incarnation
+	}
+	pool, ok := v.Pool(x.service.Name)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(pool.Targets, func(other viewer.Target) bool { return other.Incarnation == t.Incarnation })
+	if i < 0 {
+		return false
+	}
+	// A target that was cold when it was chosen has an allowance for the request.
+	latest := &pool.Targets[i]
+	return !latest.Draining && !latest.Out && (!latest.Cold || t.Cold)
+}
+
+// unsentByChoice reports whether f is a fault of recheck, which tells nothing about the target or the network.
+func unsentByChoice(f *sender.Fault) bool {
+	return errors.Is(f, errTargetLeft) || errors.Is(f, errNoTimeToRun)
+}
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -27,29 +27,38 @@
 )
 
 // refuseInStop returns the answer to a request that this host may not be able to finish before it stops, nil if there is time.
-// What counts is the time until the deadline of the request, since it may take that long.
 func (x *exchange) refuseInStop() *acceptor.Answer {
-	if x.f.opts.Stopping == nil {
+	retryAfter, ok := x.timeInStop()
+	if ok {
 		return nil
 	}
+	return x.giveUp(reasonStopping, retryAfter)
+}
+
+// timeInStop reports whether there is time for the request before this host stops, and returns the Retry-After delay if not.
+// What counts is the time until the deadline of the request, since it may take that long.
+func (x *exchange) timeInStop() (retryAfter time.Duration, ok bool) {
+	if x.f.opts.Stopping == nil {
+		return 0, true
+	}
 	stop, ok := x.f.opts.Stopping()
 	if !ok {
-		return nil
+		return 0, true
 	}
 	now := time.Now()
 	left := stop.EndsAt.Sub(now) - stopMargin
 	if x.deadline.Sub(now) <= left {
-		return nil
+		return 0, true
 	}
 	noticedIn := stop.NoticedAt.Sub(now)
 	expected := time.Duration(stopTimeFactor * float64(x.f.serviceTime(x.route.Name).expected()))
 	if noticedIn > 0 && expected <= left {
-		return nil
+		return 0, true
 	}
 	wait := max(0, noticedIn)
 	if x.relayed {
 		// The caller is at another host, which does not stop.
 		wait = 0
 	}
-	return x.giveUp(reasonStopping, wait+rand.N(max(stopRetrySpread, wait)))
+	return wait + rand.N(max(stopRetrySpread, wait)), false
 }
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -10,10 +10,72 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/shaper"
 )
 
+// sendLong sends a body that waits for the link of a fixture, and calls during while it waits.
+func sendLong(b *fixture, path string, during func(), header ...string) *acceptor.Answer {
+	link := b.f.opts.Link
+	b.f.opts.Sender = sender.New(nil, sender.WithLink(link))
+	link.Written(shaper.Short, 40_000)
+	time.AfterFunc(50*time.Millisecond, during)
+	h := http.Header{
+		testRequest: {"r1"},
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		h.Set(header[i], header[i+1])
+	}
+	return b.f.Handle(context.Background(), &acceptor.Request{
+		Method:  http.MethodPost,
+		URI:     path,
+		Path:    path,
+		Host:    "shop.example",
+		Header:  h,
+		Body:    [][]byte{make([]byte, 10_000)},
+		Arrived: time.Now(),
+	})
+}
+
+// Guards against an upload that goes, after its wait for the link, to a target that drains or has lost the key meanwhile, or on in
+// a stop that leaves no time.
+func TestTargetIsCheckedAgainAfterTheWaitForTheLink(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var old, next atomic.Int32
+	first := b.target("desk-1", "desk", answerWith(&old, "old"))
+	second := first
+	a := sendLong(b, "/order/1", func() {
+		first.Draining = true
+		b.commit(registrar.Change{
+			Announce: &first,
+		})
+		second = b.target("desk-2", "desk", answerWith(&next, "next"))
+	})
+	c.Assert(a.Status, qt.Equals, http.StatusOK)
+	c.Assert(old.Load() == 0 && next.Load() == 1, qt.IsTrue)
+	a = sendLong(b, "/order/1", func() {
+		second.Cold = true
+		b.commit(registrar.Change{
+			Announce: &second,
+		})
+	})
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(old.Load() == 0 && next.Load() == 1, qt.IsTrue)
+	b.target("tally-1", "tally", answerWith(&old, "old"))
+	b.target("tally-2", "tally", answerWith(&next, "next"))
+	b.own("tally", "tally-1")
+	a = sendLong(b, "/tally/1", func() { b.own("tally", "tally-2") }, testKey, "7")
+	c.Assert(a.Status, qt.Equals, http.StatusOK)
+	c.Assert(old.Load() == 0 && next.Load() == 2, qt.IsTrue, qt.Commentf("%d, %d", old.Load(), next.Load()))
+	b.stopIn(0, 2*time.Second)
+	a = sendLong(b, "/tally/1", func() { b.stopIn(0, 300*time.Millisecond) }, testKey, "7")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(next.Load(), qt.Equals, int32(2))
+}
+
 // uploadFixture returns a fixture whose routes are all uploads, with a narrow link.
 func uploadFixture(c *qt.C) *fixture {
 	b := newFixture(c)
