Wait for the link before a connection is taken

Callers would see a 502 of unknown outcome after the target had closed the connection on which a body waited for the link. Short requests to that target found no free connection meanwhile.

Cause: the connection was taken, and checked to be open, before the wait.

Change: the sender waits for the first piece before it takes a connection. If nothing is written then, the piece is given back to other bodies.

TestBodyTakesAConnectionAfterItsWaitForTheLink fails before the change in both respects and passes with it, as do TestPieceIsGivenBack and the other tests of sender and shaper.

--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -30,6 +30,9 @@
 	stop func() bool
 	// link paces long bodies, nil if nothing does.
 	link *shaper.Shaper
+	// flow is the body if it is paced, nil otherwise, and first the size of its first piece, zero once that is written.
+	flow  *shaper.Flow
+	first int
 	// waited is the time that the body has waited for the link.
 	waited time.Duration
 }
@@ -52,18 +55,6 @@
 		body = nil
 	}
 	c.buf = head
-	flow := a.link.Send(int64(sizeOf(body)))
-	defer flow.End()
-	first, err := a.firstPiece(flow, body)
-	if err != nil {
-		f := a.fault(err, "no capacity of the link was free")
-		f.MayHaveRun = false
-		if f.Reason != ReasonCancelled {
-			// The target is not to blame.
-			f.Reason, f.Status = ReasonOverloaded, http.StatusServiceUnavailable
-		}
-		return nil, f
-	}
 	if r.Check != nil {
 		if err := r.Check(); err != nil {
 			a.end(true)
@@ -74,11 +65,12 @@
 			return nil, NewFault(ReasonStaleRoute, http.StatusServiceUnavailable, err)
 		}
 	}
-	if flow == nil {
+	var err error
+	if a.flow == nil {
 		a.link.Written(shaper.Short, len(head)+sizeOf(body))
 		err = c.send(head, body)
 	} else {
-		err = a.sendPaced(flow, head, body, first)
+		err = a.sendPaced(head, body)
 	}
 	if err != nil {
 		if c.written == 0 {
@@ -91,7 +83,7 @@
 			return nil, a.fault(err, "request was written in part")
 		}
 	}
-	flow.End()
+	a.flow.End()
 	return a.receive()
 }
 
--- a/sender/paced.go
+++ b/sender/paced.go
@@ -3,21 +3,45 @@
 import (
 	"net"
 
+	"github.com/pkg/errors"
+
 	"bramleyline.example/bramleyline/shaper"
 )
 
-// firstPiece waits for the link before anything is written, so that a request that does not get it in time has provably not
-// run. It returns the size of the first piece of the body.
-func (a *attempt) firstPiece(flow *shaper.Flow, body [][]byte) (int, error) {
-	if flow == nil {
-		return 0, nil
+// awaitLink waits for the link if the body is long. It is called before a connection is taken: one that waits for the link could
+// be closed by the target meanwhile, and short requests could not use it. The caller must call endFlow.
+func (a *attempt) awaitLink() *Fault {
+	r := a.req
+	size := r.bodySize()
+	if size <= maxInlineBody {
+		return nil
+	}
+	a.flow = a.link.Send(int64(size))
+	if a.flow == nil {
+		return nil
+	}
+	var err error
+	if a.first, err = a.flow.Piece(a.ctx, r.Deadline, len(r.Body[0])); err != nil {
+		a.first = 0
+		// The target is not to blame.
+		return unsentFault(a.ctx, ReasonOverloaded, errors.WithMessage(err, "no capacity of the link was free"))
+	}
+	return nil
+}
+
+// endFlow ends the use of the link, and gives back a first piece that was not written.
+func (a *attempt) endFlow() {
+	if a.first > 0 {
+		a.flow.GiveBack()
 	}
-	return flow.Piece(a.ctx, a.req.Deadline, len(body[0]))
+	a.flow.End()
 }
 
-// sendPaced writes the header and the body in pieces, the first of which has the size first.
-func (a *attempt) sendPaced(flow *shaper.Flow, head []byte, body [][]byte, first int) error {
+// sendPaced writes the header and the body in pieces.
+func (a *attempt) sendPaced(head []byte, body [][]byte) error {
 	c := a.conn
+	flow, first := a.flow, a.first
+	a.first = 0
 	defer func() { a.waited = flow.Waited() }()
 	a.link.Written(shaper.Short, len(head))
 	buffers := net.Buffers{head, body[0][:first]}
--- a/sender/paced_test.go
+++ b/sender/paced_test.go
@@ -80,3 +80,35 @@
 	c.Assert(fault.Reason, qt.Equals, ReasonOverloaded)
 	c.Assert(fault.MayHaveRun, qt.IsFalse)
 }
+
+// Guards against a body that holds a connection while it waits for the link, so that short requests find none, and that is then
+// written to a connection which its target has closed.
+func TestBodyTakesAConnectionAfterItsWaitForTheLink(t *testing.T) {
+	c := qt.New(t)
+	link := shaper.New(2.2, nil)
+	link.SetActive(true)
+	w := newTestServer(t, echoBody)
+	w.Config.IdleTimeout = 50 * time.Millisecond
+	w.Start()
+	s := New(nil, WithLink(link))
+	defer s.Close()
+	short := func() {
+		r := w.request("short")
+		r.Connections, r.Deadline = 1, time.Now().Add(100*time.Millisecond)
+		_, fault := send(s, r)
+		c.Check(fault == nil, qt.IsTrue, qt.Commentf("%v", fault))
+	}
+	short()
+	link.Written(shaper.Short, 60_000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r := w.request(strings.Repeat("x", 10_000))
+		r.Connections = 1
+		_, fault := send(s, r)
+		c.Check(fault == nil, qt.IsTrue, qt.Commentf("%v", fault))
+	}()
+	time.Sleep(20 * time.Millisecond)
+	short()
+	<-done
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -161,6 +161,15 @@
 // Send makes one attempt. It returns when the header of the answer was read, or with a *Fault. The context should carry
 // r.Deadline too: it bounds the wait for a connection, and its cancellation closes the connection.
 func (s *Sender) Send(ctx context.Context, r *Request) (*Response, *Fault) {
+	a := attempt{
+		req:  r,
+		ctx:  ctx,
+		link: s.link,
+	}
+	defer a.endFlow()
+	if f := a.awaitLink(); f != nil {
+		return nil, f
+	}
 	p, c, err := s.acquire(ctx, r)
 	if err != nil {
 		return nil, unsentFault(ctx, ReasonOverloaded, errors.Wrap(err, "no free connection"))
@@ -177,12 +186,7 @@
 			return nil, unsentFault(ctx, ReasonOverloaded, errConnectionRejected)
 		}
 	}
-	a := attempt{
-		conn: c,
-		req:  r,
-		ctx:  ctx,
-		link: s.link,
-	}
+	a.conn = c
 	return a.run()
 }
 
--- a/shaper/pacer.go
+++ b/shaper/pacer.go
@@ -100,6 +100,13 @@
 	return best, 0
 }
 
+// giveBack undoes the last piece of a flow, as far as the link has not been idle for it.
+func (p *pacer) giveBack(now time.Time, f *Flow) {
+	p.update(now)
+	p.queued = max(min(p.queued, 0), p.queued-float64(f.piece))
+	f.remaining += int64(f.piece)
+}
+
 func (p *pacer) remove(f *Flow) bool {
 	i := slices.Index(p.waiting, f)
 	if i >= 0 {
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -247,6 +247,17 @@
 	return n, err
 }
 
+// GiveBack gives back the last piece, which was not written, to other bodies.
+func (f *Flow) GiveBack() {
+	s := f.shaper
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.out.giveBack(now, f)
+	counters.Add("bytesBulk", -int64(f.piece))
+	s.grant(now)
+}
+
 // Waited returns the time that the pieces have waited for the link.
 func (f *Flow) Waited() time.Duration {
 	if f == nil {
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -80,6 +80,27 @@
 	c.Assert(pieces, qt.Equals, 5)
 }
 
+// Guards against a turn that is lost to other bodies, or that lets them write too much, when it is given back.
+func TestPieceIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	p := pacer{
+		rate: 100_000,
+	}
+	first, second := flow(&p, 60_000, start), flow(&p, 90_000, start)
+	p.wait(start, first)
+	p.wait(start, second)
+	f, _ := p.next(start)
+	c.Assert(f, qt.Equals, first)
+	f, _ = p.next(start)
+	c.Assert(f, qt.IsNil)
+	p.giveBack(start, first)
+	c.Assert(first.remaining, qt.Equals, int64(60_000))
+	f, _ = p.next(start)
+	c.Assert(f, qt.Equals, second)
+	p.giveBack(start.Add(time.Second), second)
+	c.Assert(p.queued, qt.Equals, 0.0)
+}
+
 // Guards against short bodies that wait behind long ones, and against a long one that always waits behind short ones.
 func TestShortestRemainderFirstWithAging(t *testing.T) {
 	c := qt.New(t)
