Send no uploads to targets in backoff while others are busy

Callers would see uploads fail at a target that had ended, although others were alive.

Cause: uploadTarget excludes targets that have an upload or a queue, and Choose returns a target in backoff if no other is left.

Change: uploadTarget excludes targets in backoff too, so that the normal choice follows.

TestUploadsPreferBusyTargetsToDeadOnes fails before the change and passes with it.

--- a/forwarder/upload.go
+++ b/forwarder/upload.go
@@ -115,7 +115,9 @@
 	excluded := slices.Clone(x.tried)
 	for i := range pool.Targets {
 		t := &pool.Targets[i]
-		if !x.f.uploads.mayTake(now, t.Incarnation) || x.f.opts.Selector.Estimate(now, t, need.Work).Wait > 0 {
+		// Choose returns targets in backoff if there is no other, but here the others are only busy.
+		if !x.f.uploads.mayTake(now, t.Incarnation) || x.f.opts.Selector.BackedOff(now, t.Incarnation) ||
+			x.f.opts.Selector.Estimate(now, t, need.Work).Wait > 0 {
 			excluded = append(excluded, t.Incarnation)
 		}
 	}
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -12,6 +12,7 @@
 
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/shaper"
 )
@@ -168,6 +169,23 @@
 	c.Assert(b.f.uploads.mayTake(now.Add(uploadBackoff), inc), qt.IsTrue)
 }
 
+// Guards against uploads to a target that does not answer while others have an upload.
+func TestUploadsPreferBusyTargetsToDeadOnes(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var lost, served atomic.Int32
+	dead := b.target("desk-1", "desk", hangUp(&lost)).Incarnation
+	busy := b.target("desk-2", "desk", answerWith(&served, "done")).Incarnation
+	b.f.opts.Selector.Begin(time.Now(), dead)
+	b.f.opts.Selector.End(time.Now(), dead, selector.Result{
+		Unanswered: true,
+	})
+	place, _ := b.f.uploads.enter(busy, true)
+	defer b.f.uploads.leave(place)
+	c.Assert(b.send(context.Background(), "POST", "/order/1").Status, qt.Equals, http.StatusOK)
+	c.Assert(lost.Load(), qt.Equals, int32(0))
+}
+
 // Guards against an upload that is judged by a wrong time: that of its route, or the caller's if it is shorter.
 func TestAllowance(t *testing.T) {
 	c := qt.New(t)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -337,6 +337,13 @@
 	}
 }
 
+// BackedOff reports whether a target is in backoff after attempts without an answer.
+func (s *Selector) BackedOff(now time.Time, inc registrar.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.targetStats(inc).backoffUntil)
+}
+
 // Unresponsive reports whether a target is unresponsive, because its last attempts brought no answer: its process may
 // have ended or the network may be partitioned. Once per probeInterval it returns false, so that one request probes
 // whether the target answers again.
