Answer 502 to a relayed request that may have run here

Callers would see 503 or 429, which say that the request did not run, after this host had lost an attempt that may have run.

Cause: the answer of the other host was returned unchanged.

Change: relay maps 503 and 429 to 502 of unknown outcome after a possible run.

TestRefusalOfAnotherHostIsNotPassedOnAfterAPossibleRun fails before the change and passes with it.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"bramleyline.example/bramleyline/acceptor"
@@ -47,6 +48,14 @@
 // relay passes the request to another host and returns its answer.
 func (x *exchange) relay(ctx context.Context) *acceptor.Answer {
 	a, fault := x.f.opts.Relay(ctx, x.req, x.deadline)
+	if fault == nil && x.possibleRuns > 0 && saysNotRun(a.Status) {
+		// It did not run there, but may have run after an attempt of this host.
+		if a.Held != nil {
+			a.Held.Release()
+		}
+		x.lastErr = "relayed: " + strconv.Itoa(a.Status)
+		return x.fail(http.StatusBadGateway, reasonUnknown)
+	}
 	if fault == nil {
 		x.result = "relayed"
 		if a.Status >= http.StatusInternalServerError || x.f.onTimeAnswers.Add(1)%logSampleInterval == 0 {
@@ -71,3 +80,8 @@
 	}
 	return x.refuse(reason, retryAfterNoLinks+time.Duration(rand.Int64N(int64(retryAfterNoLinksSpread))))
 }
+
+// saysNotRun reports whether an answer of another host tells the caller that the request did not run.
+func saysNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
