Leave stalled bodies out of the backlog of the link

Callers would see their uploads refused, and connections closed, because one target did not read.

Cause: the remainder of each body that is sent counted, also of those that cannot be written and use no part of the link.

Change: the backlog, and what is ahead of a new body, count only bodies that wait for a turn or had one within 300 ms.

TestStalledBodyIsNoBacklog fails without the rule and passes with it; the tests of shaper and sender pass.

--- a/shaper/pacer.go
+++ b/shaper/pacer.go
@@ -17,6 +17,8 @@
 	minBulkShare = 0.1
 	// agingShare is the share of the link by which the remainder of a body counts less for each second that it has waited.
 	agingShare = 0.5
+	// stalledTime is how long after its last piece a body that asks for no other counts as stalled: its target does not read.
+	stalledTime = 300 * time.Millisecond
 )
 
 // transfer is a body that is being sent or received.
@@ -69,6 +71,7 @@
 		p.pieceAt = now
 	}
 	p.waiting = append(p.waiting, f)
+	f.waiting = true
 }
 
 // next returns the flow that may write its piece now and removes it from those that wait. If there is none yet, it returns nil
@@ -97,6 +100,7 @@
 	p.queued += float64(best.piece)
 	p.pieceAt = now
 	best.remaining -= int64(best.piece)
+	best.activeAt = now
 	return best, 0
 }
 
@@ -111,6 +115,7 @@
 	i := slices.Index(p.waiting, f)
 	if i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
+		f.waiting = false
 	}
 	return i >= 0
 }
@@ -119,11 +124,28 @@
 func (p *pacer) ahead(now time.Time, size int64) float64 {
 	return p.queuedNow(now) + sumAhead(now, p.rate, size, func(yield func(*transfer)) {
 		for _, f := range p.flows {
-			yield(&f.transfer)
+			if !f.stalled(now) {
+				yield(&f.transfer)
+			}
 		}
 	})
 }
 
+// backlog returns the bytes in the kernel and those that the bodies still have to send. Stalled bodies do not use the link.
+func (p *pacer) backlog(now time.Time) float64 {
+	sum := p.queuedNow(now)
+	for _, f := range p.flows {
+		if !f.stalled(now) {
+			sum += float64(f.remaining)
+		}
+	}
+	return sum
+}
+
+func (f *Flow) stalled(now time.Time) bool {
+	return !f.waiting && now.Sub(f.activeAt) >= stalledTime
+}
+
 func (p *pacer) queuedNow(now time.Time) float64 {
 	p.update(now)
 	return max(0, p.queued)
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -190,6 +190,9 @@
 	ready  chan struct{}
 	waited time.Duration
 	ended  bool
+	// waiting says that the flow waits to write a piece. activeAt is when it began, or might last write one.
+	waiting  bool
+	activeAt time.Time
 }
 
 // Send begins to send a body of size bytes. It returns nil if the body is not shaped. The caller must call End.
@@ -205,6 +208,7 @@
 		shaper: s,
 		ready:  make(chan struct{}, 1),
 	}
+	f.activeAt = f.began
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.out.flows = append(s.out.flows, f)
@@ -319,11 +323,7 @@
 
 // backlog returns the time that the bodies in progress take on the link. The caller holds the lock.
 func (s *Shaper) backlog(now time.Time) time.Duration {
-	sum := s.out.queuedNow(now)
-	for _, f := range s.out.flows {
-		sum += float64(f.remaining)
-	}
-	return seconds((sum + s.in.backlog()) / s.rate)
+	return seconds((s.out.backlog(now) + s.in.backlog()) / s.rate)
 }
 
 // observe updates the saturation. The caller holds the lock.
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -101,6 +101,25 @@
 	c.Assert(p.queued, qt.Equals, 0.0)
 }
 
+// Guards against a saturated host, and against refusals, because one target does not read.
+func TestStalledBodyIsNoBacklog(t *testing.T) {
+	c := qt.New(t)
+	s := New(2.2, nil)
+	p := &s.out
+	f := flow(p, 400_000, start)
+	p.wait(start, f)
+	c.Assert(s.backlog(start.Add(time.Minute)) > time.Second, qt.IsTrue)
+	now := start.Add(time.Minute)
+	got, _ := p.next(now)
+	c.Assert(got, qt.Equals, f)
+	c.Assert(s.backlog(now.Add(stalledTime/2)) > time.Second, qt.IsTrue)
+	now = now.Add(stalledTime)
+	c.Assert(s.backlog(now), qt.Equals, time.Duration(0))
+	c.Assert(p.ahead(now, 500_000), qt.Equals, 0.0)
+	p.wait(now, f)
+	c.Assert(s.backlog(now) > time.Second, qt.IsTrue)
+}
+
 // Guards against short bodies that wait behind long ones, and against a long one that always waits behind short ones.
 func TestShortestRemainderFirstWithAging(t *testing.T) {
 	c := qt.New(t)
