Notice callers that leave while their body waits for a turn

Callers would see their uploads refused because of others that had left: their bodies kept a place until their turn or deadline.

Cause: the socket is not read during the wait, and reading shows the end only after the bytes that have arrived. MSG_PEEK has the same limit.

Change: every 250 ms of the wait, the state of the connection is read from TCP_INFO. A caller that has closed or reset it counts as left, as one does whose end is read: it gets no answer in either case.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"bramleyline.example/bramleyline/shaper"
 )
@@ -18,6 +20,12 @@
 // maxRead is the most bytes of a long body that are read at a time: the receive buffer holds about as many.
 const maxRead = shaper.ReadBuffer
 
+// The states of a TCP connection that the caller has reset or closed, as the kernel numbers them.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
 // refusedError is the error of a body that the link has no room for.
 type refusedError struct {
 	retryAfter time.Duration
@@ -89,7 +97,10 @@
 }
 
 func (c *conn) awaitTurn() (time.Time, error) {
-	limit, err := c.reception.Wait(c.ctx)
+	limit, err := c.reception.Wait(c.ctx, c.callerLeft)
+	if errors.Is(err, shaper.ErrLeft) {
+		return limit, io.EOF
+	}
 	if errors.Is(err, shaper.ErrLate) {
 		return limit, &refusedError{
 			retryAfter: retryAfterNoMemory + rand.N(retryAfterNoMemory),
@@ -101,6 +112,25 @@
 	return limit, err
 }
 
+// callerLeft reports whether the caller has closed or reset the connection, after which it gets no answer. Reading would show that
+// only after the bytes that have arrived.
+func (c *conn) callerLeft() bool {
+	raw, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	_ = rc.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		left = err == nil && (info.State == tcpClose || info.State == tcpCloseWait)
+	})
+	return left
+}
+
 // readPaced reads from the connection when the body has its turn.
 func (c *conn) readPaced(b []byte) (int, error) {
 	b = b[:min(len(b), maxRead)]
--- a/acceptor/link_test.go
+++ b/acceptor/link_test.go
@@ -164,3 +164,41 @@
 		c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	}
 }
+
+// Guards against bodies that keep their place until their deadline although their callers have left, and against callers that
+// count as having left.
+func TestCallerThatLeavesGivesUpItsPlace(t *testing.T) {
+	c := qt.New(t)
+	a, dial := serveLink(c, 2.2, shaper.Allowance{
+		Deadline: 5 * time.Second,
+	})
+	var wg sync.WaitGroup
+	for range 2 {
+		conn, answers := dial()
+		post(c, conn, 150_000)
+		wg.Go(func() {
+			for range 15 {
+				_, _ = io.WriteString(conn, strings.Repeat("x", 10_000))
+				time.Sleep(80 * time.Millisecond)
+			}
+			_, body := readAnswer(c, answers)
+			c.Check(body, qt.Equals, "150000")
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	for _, linger := range []int{-1, 0} {
+		conn, _ := dial()
+		post(c, conn, 200_000)
+		_, err := io.WriteString(conn, "some of it")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(20 * time.Millisecond)
+		c.Assert(conn.(*net.TCPConn).SetLinger(linger), qt.IsNil)
+		_ = conn.Close()
+	}
+	time.Sleep(600 * time.Millisecond)
+	a.mu.Lock()
+	n := len(a.conns)
+	a.mu.Unlock()
+	c.Check(n, qt.Equals, 2)
+	wg.Wait()
+}
--- a/shaper/reception.go
+++ b/shaper/reception.go
@@ -11,6 +11,12 @@
 // link each segment would wake it otherwise.
 const readBatch = 8 << 10
 
+// checkInterval is the time between two checks of a caller whose body waits for its turn.
+const checkInterval = 250 * time.Millisecond
+
+// ErrLeft says that the caller has left before its body had its turn.
+var ErrLeft = errors.New("caller left while its body waited")
+
 // ErrLate says that the deadline of a request passed before its body was received.
 var ErrLate = errors.New("body was not received before the deadline of its request")
 
@@ -83,8 +89,9 @@
 }
 
 // Wait waits for the turn of the body, and returns until when its socket may be read before Read is called; the zero time is no
-// bound. The error is ErrLate after the deadline of the request, or that of ctx.
-func (r *Reception) Wait(ctx context.Context) (time.Time, error) {
+// bound. While it waits it calls left now and then, which reports whether the caller has left. The error is ErrLate after the
+// deadline of the request, ErrLeft, or that of ctx.
+func (r *Reception) Wait(ctx context.Context, left func() bool) (time.Time, error) {
 	s := r.shaper
 	for {
 		now := time.Now()
@@ -104,14 +111,14 @@
 		case phaseSlow, phaseEnded:
 			return r.until, nil
 		}
-		if err := r.await(ctx, now); err != nil {
+		if err := r.await(ctx, now, left); err != nil {
 			return time.Time{}, err
 		}
 	}
 }
 
 // await waits until the body gets a turn, or until its deadline.
-func (r *Reception) await(ctx context.Context, now time.Time) error {
+func (r *Reception) await(ctx context.Context, now time.Time, left func() bool) error {
 	var expired <-chan time.Time
 	if !r.until.IsZero() {
 		timer := time.NewTimer(r.until.Sub(now))
@@ -119,13 +126,23 @@
 		expired = timer.C
 	}
 	defer func() { r.waited += time.Since(now) }()
-	select {
-	case <-r.ready:
-	case <-expired:
-	case <-ctx.Done():
-		return ctx.Err()
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-r.ready:
+			return nil
+		case <-expired:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-check.C:
+			if left() {
+				counters.Add("callersLeft", 1)
+				return ErrLeft
+			}
+		}
 	}
-	return nil
 }
 
 // Read records that n bytes were read, zero if none arrived in time.
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -39,7 +39,7 @@
 )
 
 // counters are the bytes written by class (control, short, bulk), pieces and the time they waited in ms, bodies received and the
-// time they waited in ms, slow callers, refusals by reason, saturations, and connections given up.
+// time they waited in ms, slow callers, callers that left, refusals by reason, saturations, and connections given up.
 var counters = expvar.NewMap("shaper")
 
 // Class is the class of a message that is written.
