Tell targets and hosts the time after the wait for the link

Targets would see more time left, and other hosts a younger request, than is true by as long as the body waited for the link.

Cause: the headers were made before the wait.

Change: sender.Request.LateFields returns headers when the request is about to be written. The forwarder and the relayer use it.

TestTargetIsToldTheTimeThatIsLeftAfterTheWait fails before the change and passes with it; TestBodyTakesAConnectionAfterItsWaitForTheLink checks when LateFields is called. The tests of sender, relayer and forwarder pass.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -37,7 +37,7 @@
 	if l := x.f.opts.Links; l != nil {
 		l.Begin(start)
 	}
-	resp, body, fault := x.send(ctx, t, start)
+	resp, body, fault := x.send(ctx, t)
 	if l := x.f.opts.Links; l != nil {
 		l.End(time.Now(), fault == nil)
 	}
@@ -121,14 +121,14 @@
 		time.Until(x.deadline) > 2*x.f.serviceTime(x.route.Name).expected()
 }
 
-func (x *exchange) send(ctx context.Context, t *viewer.Target, start time.Time) (*sender.Response, []byte, *sender.Fault) {
+func (x *exchange) send(ctx context.Context, t *viewer.Target) (*sender.Response, []byte, *sender.Fault) {
 	resp, fault := x.f.opts.Sender.Send(ctx, &sender.Request{
 		Addr:         t.Addr,
 		Method:       x.req.Method,
 		URI:          x.req.URI,
 		Host:         x.req.Host,
 		Header:       x.header,
-		Fields:       x.f.opts.Codec.Fields(x.call, t, x.deadline.Sub(start)),
+		LateFields:   func() []sender.Field { return x.f.opts.Codec.Fields(x.call, t, time.Until(x.deadline)) },
 		Body:         x.req.Body,
 		Identity:     x.call.ID,
 		EchoHeader:   x.f.opts.Codec.EchoHeader(),
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -77,6 +78,21 @@
 	c.Assert(next.Load(), qt.Equals, int32(2))
 }
 
+// Guards against a target that is told the time which its request had before the wait for the link.
+func TestTargetIsToldTheTimeThatIsLeftAfterTheWait(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var left atomic.Value
+	b.target("desk-1", "desk", func(w http.ResponseWriter, r *http.Request) {
+		left.Store(r.Header.Get(testDeadline))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c.Assert(sendLong(b, "/order/1", func() {}).Status, qt.Equals, http.StatusNoContent)
+	ms, err := strconv.Atoi(left.Load().(string))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ms > 0 && ms < 900, qt.IsTrue, qt.Commentf("%d ms", ms))
+}
+
 // uploadFixture returns a fixture whose routes are all uploads, with a narrow link.
 func uploadFixture(c *qt.C) *fixture {
 	b := newFixture(c)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -175,7 +175,7 @@
 				Method: http.MethodOptions,
 				URI:    signer.StatusPath,
 				Host:   h.Addr.String(),
-			}, 0, deadline)
+			}, deadline)
 			ok := fault == nil && a.Status == http.StatusNoContent
 			// A host that had links and does not answer in time is overloaded, or lost; one that declines is neither.
 			if wasSound := r.note(h, ok); ok || wasSound && fault != nil {
@@ -282,7 +282,7 @@
 			break
 		}
 		tried[h.Name] = true
-		a, taken, fault := r.send(ctx, h, req, time.Since(req.Arrived), deadline)
+		a, taken, fault := r.send(ctx, h, req, deadline)
 		r.mu.Lock()
 		r.state(h).inFlight--
 		r.mu.Unlock()
@@ -302,29 +302,17 @@
 }
 
 // send passes a request to one host. taken is false if the host says that it has no links and did not run the request.
-func (r *Relayer) send(ctx context.Context, h Host, req *acceptor.Request, age time.Duration, deadline time.Time) (a *acceptor.Answer, taken bool, fault *sender.Fault) {
+func (r *Relayer) send(
+	ctx context.Context, h Host, req *acceptor.Request, deadline time.Time,
+) (a *acceptor.Answer, taken bool, fault *sender.Fault) {
 	id := strconv.FormatUint(rand.Uint64(), 16)
-	ms := strconv.FormatInt(max(0, age.Milliseconds()), 10)
 	resp, fault := r.opts.Sender.Send(ctx, &sender.Request{
-		Addr:   h.Addr,
-		Method: req.Method,
-		URI:    req.URI,
-		Host:   req.Host,
-		Header: stripper.EndToEnd(req.Header, ownHeader),
-		Fields: []sender.Field{
-			{
-				Name:  signer.HeaderID,
-				Value: id,
-			},
-			{
-				Name:  signer.HeaderAge,
-				Value: ms,
-			},
-			{
-				Name:  signer.HeaderSignature,
-				Value: r.opts.Signer.Sign(req.Body, req.Method, req.Host, req.URI, id, ms),
-			},
-		},
+		Addr:        h.Addr,
+		Method:      req.Method,
+		URI:         req.URI,
+		Host:        req.Host,
+		Header:      stripper.EndToEnd(req.Header, ownHeader),
+		LateFields:  func() []sender.Field { return r.fields(req, id) },
 		Body:        req.Body,
 		Identity:    id,
 		EchoHeader:  signer.HeaderID,
@@ -353,6 +341,29 @@
 	}, taken, nil
 }
 
+// fields returns the signed headers of a request. Its age is zero if it comes from no caller.
+func (r *Relayer) fields(req *acceptor.Request, id string) []sender.Field {
+	age := time.Duration(0)
+	if !req.Arrived.IsZero() {
+		age = max(0, time.Since(req.Arrived))
+	}
+	ms := strconv.FormatInt(age.Milliseconds(), 10)
+	return []sender.Field{
+		{
+			Name:  signer.HeaderID,
+			Value: id,
+		},
+		{
+			Name:  signer.HeaderAge,
+			Value: ms,
+		},
+		{
+			Name:  signer.HeaderSignature,
+			Value: r.opts.Signer.Sign(req.Body, req.Method, req.Host, req.URI, id, ms),
+		},
+	}
+}
+
 // ownHeader reports whether a header is one of the system itself.
 func ownHeader(name string) bool {
 	return strings.HasPrefix(name, "Bramleyline-")
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -228,6 +228,11 @@
 	for _, f := range r.Fields {
 		b = appendField(b, f.Name, f.Value)
 	}
+	if r.LateFields != nil {
+		for _, f := range r.LateFields() {
+			b = appendField(b, f.Name, f.Value)
+		}
+	}
 	if bodySize > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(bodySize), 10)
--- a/sender/paced_test.go
+++ b/sender/paced_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,12 +83,18 @@
 }
 
 // Guards against a body that holds a connection while it waits for the link, so that short requests find none, and that is then
-// written to a connection which its target has closed.
+// written to a connection which its target has closed, or with a time from before the wait.
 func TestBodyTakesAConnectionAfterItsWaitForTheLink(t *testing.T) {
 	c := qt.New(t)
 	link := shaper.New(2.2, nil)
 	link.SetActive(true)
-	w := newTestServer(t, echoBody)
+	var late atomic.Int32
+	w := newTestServer(t, func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Late") != "" {
+			late.Add(1)
+		}
+		echoBody(rw, r)
+	})
 	w.Config.IdleTimeout = 50 * time.Millisecond
 	w.Start()
 	s := New(nil, WithLink(link))
@@ -105,10 +112,16 @@
 		defer close(done)
 		r := w.request(strings.Repeat("x", 10_000))
 		r.Connections = 1
+		began := time.Now()
+		r.LateFields = func() []Field {
+			c.Check(time.Since(began) > 100*time.Millisecond, qt.IsTrue)
+			return []Field{{Name: "X-Late", Value: "1"}}
+		}
 		_, fault := send(s, r)
 		c.Check(fault == nil, qt.IsTrue, qt.Commentf("%v", fault))
 	}()
 	time.Sleep(20 * time.Millisecond)
 	short()
 	<-done
+	c.Assert(late.Load(), qt.Equals, int32(1))
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -42,6 +42,9 @@
 	// Header is written as it is, apart from Content-Length and Host; the caller of Send must remove hop-by-hop headers.
 	Header http.Header
 	Fields []Field
+	// LateFields returns further fields once the request is about to be written, for those that depend on the time: the body may
+	// have waited for the link. It may be nil.
+	LateFields func() []Field
 	// Body holds the parts of the body, which are sent one after the other.
 	Body [][]byte
 	// Identity is the value that the answer must repeat in the header EchoHeader, by default Bramleyline-Request.
