Check the owner again after the wait for an upload's place

Callers would see an upload go to an owner that drains for too long, and other uploads wait for a place that nobody used.

Cause: after the wait the owner was only checked if the view was newer, and the place was kept during a wait for another owner.

Change: stillOwner always evaluates usableOwner, and the place is left before the next wait.

TestOwnerIsCheckedAfterTheWaitForTheUploadBeforeIt fails without either change and passes with both; the tests of forwarder pass.

--- a/forwarder/owner.go
+++ b/forwarder/owner.go
@@ -108,9 +108,11 @@
 			if refusal := x.admit(ctx, now, v, t); refusal != nil {
 				return nil, refusal
 			}
-			if x.stillOwner(v, t) {
+			if x.stillOwner(t) {
 				return t, nil
 			}
+			// Other uploads may use the place while this request waits for another owner.
+			x.leave()
 			continue
 		}
 		if !pending || !now.Before(waitUntil) || !x.awaitView(ctx, changed, waitUntil.Sub(now)) {
@@ -151,14 +153,11 @@
 	}
 }
 
-// stillOwner reports whether t, the usable owner of the key in v, is that in the newest view too. The key may have moved
-// while the request waited for a token.
-func (x *exchange) stillOwner(v *viewer.View, t *viewer.Target) bool {
-	latest, _ := x.f.opts.View()
-	if latest == v {
-		return true
-	}
-	owner, _ := x.usableOwner(latest, time.Now())
+// stillOwner reports whether t is the usable owner of the key after a wait for a token or for the place of an upload. The key may
+// have moved, or the time of an owner that drains may have ended, which is not a newer view.
+func (x *exchange) stillOwner(t *viewer.Target) bool {
+	v, _ := x.f.opts.View()
+	owner, _ := x.usableOwner(v, time.Now())
 	return owner != nil && owner.Incarnation == t.Incarnation
 }
 
--- a/forwarder/recheck.go
+++ b/forwarder/recheck.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -41,11 +40,10 @@
 
 // stillUsable reports whether the newest view allows the request to go to t.
 func (x *exchange) stillUsable(t *viewer.Target) bool {
-	v, _ := x.f.opts.View()
 	if x.service.Keyed {
-		owner, _ := x.usableOwner(v, time.Now())
-		return owner != nil && owner.Incarnation == t.Incarnation
+		return x.stillOwner(t)
 	}
+	v, _ := x.f.opts.View()
 	pool, ok := v.Pool(x.service.Name)
 	if !ok {
 		return false
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -185,6 +185,28 @@
 	c.Assert(b.f.uploads.mayTake(now.Add(uploadBackoff), inc), qt.IsTrue)
 }
 
+// Guards against an upload that goes to an owner whose time to drain ended while it waited for the one before it, and against one
+// that keeps its place there while it waits for the next owner.
+func TestOwnerIsCheckedAfterTheWaitForTheUploadBeforeIt(t *testing.T) {
+	c := qt.New(t)
+	b := uploadFixture(c)
+	var served atomic.Int32
+	owner := b.target("tally-1", "tally", answerWith(&served, "done"))
+	b.own("tally", "tally-1")
+	owner.Draining = true
+	b.commit(registrar.Change{
+		Announce: &owner,
+	})
+	place, _ := b.f.uploads.enter(owner.Incarnation, true)
+	time.AfterFunc(150*time.Millisecond, func() { b.f.uploads.leave(place) })
+	time.AfterFunc(250*time.Millisecond, func() {
+		c.Check(b.f.uploads.mayTake(time.Now(), owner.Incarnation), qt.IsTrue)
+	})
+	a := b.send(context.Background(), "POST", "/tally/1", testKey, "7")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(served.Load(), qt.Equals, int32(0))
+}
+
 // Guards against uploads to a target that does not answer while others have an upload.
 func TestUploadsPreferBusyTargetsToDeadOnes(t *testing.T) {
 	c := qt.New(t)
