Bound the wait for a turn of bodies without a deadline

Callers would wait without an answer, and without an end, for the turn of a body whose request has no deadline, such as one that another host passed on.

Cause: an Allowance of zero set no bound.

Change: the wait is bounded by the header timeout plus the time of the body at a tenth of the link. The limit on the length of bodies bounds the latter. The request is then refused; it was not passed on.

TestWaitWithoutADeadlineIsBounded fails without the bound and passes with it; the tests of shaper and acceptor pass.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -67,6 +67,7 @@
 	if a.Allowance != nil {
 		allowance = a.Allowance(req.Host, req.URL.Path, req.Header)
 	}
+	allowance.MaxWait = a.limits().HeaderTimeout
 	size := req.ContentLength
 	if size > 0 {
 		size = max(0, size-int64(c.br.Buffered()))
--- a/shaper/reception.go
+++ b/shaper/reception.go
@@ -17,7 +17,7 @@
 // ErrLeft says that the caller has left before its body had its turn.
 var ErrLeft = errors.New("caller left while its body waited")
 
-// ErrLate says that the deadline of a request passed before its body was received.
+// ErrLate says that the deadline of a request passed before its body was received, or that it has waited too long for its turn.
 var ErrLate = errors.New("body was not received before the deadline of its request")
 
 // Reception is a long body that is being received. Its methods other than End are called by one goroutine.
@@ -35,6 +35,8 @@
 	// ready is signalled when the body gets a turn.
 	ready  chan struct{}
 	waited time.Duration
+	// maxWait bounds waited if there is no deadline, zero otherwise.
+	maxWait time.Duration
 }
 
 // Receive decides on a body of which size bytes are still to be read, -1 if that is not known, and whose request arrived at
@@ -53,6 +55,8 @@
 	}
 	if a.Deadline > 0 {
 		r.until = arrived.Add(a.Deadline)
+	} else {
+		r.maxWait = a.MaxWait + seconds(float64(size)/(minBulkShare*s.rate))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,20 +115,24 @@
 		case phaseSlow, phaseEnded:
 			return r.until, nil
 		}
+		if r.maxWait > 0 && r.waited >= r.maxWait {
+			counters.Add("refused."+reasonWaiting, 1)
+			return time.Time{}, ErrLate
+		}
 		if err := r.await(ctx, now, left); err != nil {
 			return time.Time{}, err
 		}
 	}
 }
 
-// await waits until the body gets a turn, or until its deadline.
+// await waits until the body gets a turn, or until it has waited too long.
 func (r *Reception) await(ctx context.Context, now time.Time, left func() bool) error {
-	var expired <-chan time.Time
+	limit := r.maxWait - r.waited
 	if !r.until.IsZero() {
-		timer := time.NewTimer(r.until.Sub(now))
-		defer timer.Stop()
-		expired = timer.C
+		limit = r.until.Sub(now)
 	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	defer func() { r.waited += time.Since(now) }()
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
@@ -132,7 +140,7 @@
 		select {
 		case <-r.ready:
 			return nil
-		case <-expired:
+		case <-timer.C:
 			return nil
 		case <-ctx.Done():
 			return ctx.Err()
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -56,6 +56,9 @@
 	// Objective is the time up to which an answer is on time, Deadline that up to which the caller waits.
 	Objective time.Duration
 	Deadline  time.Duration
+	// MaxWait bounds the time that the body waits for its turn if Deadline is zero, beyond what it takes at minBulkShare of the
+	// link.
+	MaxWait time.Duration
 	// Work is the expected service time.
 	Work time.Duration
 	// Always says that the body is received in any case.
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -1,6 +1,7 @@
 package shaper
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -261,3 +262,25 @@
 	c.Assert(s.class(start, Control, 50_000), qt.Equals, Short)
 	c.Assert(s.class(start.Add(time.Second), Control, 50_000), qt.Equals, Control)
 }
+
+// Guards against a body without a deadline that waits for its turn for ever.
+func TestWaitWithoutADeadlineIsBounded(t *testing.T) {
+	c := qt.New(t)
+	s := New(20, nil)
+	s.SetActive(true)
+	var last *Reception
+	for range s.in.turns() + 1 {
+		r, refusal := s.Receive(time.Now(), 10_000, Allowance{
+			MaxWait: 50 * time.Millisecond,
+		})
+		c.Assert(refusal, qt.IsNil)
+		defer r.End()
+		last = r
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := last.Wait(ctx, func() bool { return false })
+	c.Assert(err, qt.Equals, ErrLate)
+	c.Assert(time.Since(began) >= 80*time.Millisecond, qt.IsTrue)
+}
