--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -113,8 +113,8 @@
 	return limit, err
 }
 
-// callerLeft reports whether the caller has closed or reset the connection, after which it gets no answer. Reading would show that
-// only after the bytes that have arrived.
+// callerLeft reports whether the caller has closed or reset the connection, after which it gets no answer. Reading would show
+// that only after the bytes that have arrived.
 func (c *conn) callerLeft() bool {
 	raw, ok := c.raw.(syscall.Conn)
 	if !ok {
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -41,8 +41,8 @@
 	})
 }
 
-// Guards against an upload that goes, after its wait for the link, to a target that drains or has lost the key meanwhile, or on in
-// a stop that leaves no time.
+// Guards against an upload that goes, after its wait for the link, to a target that drains or has lost the key meanwhile, or on
+// in a stop that leaves no time.
 func TestTargetIsCheckedAgainAfterTheWaitForTheLink(t *testing.T) {
 	c := qt.New(t)
 	b := uploadFixture(c)
