Wait for the other side of the test of rechecks

The race detector reported a race in TestTargetIsCheckedAgainAfterTheWaitForTheLink: the test did not wait for its own change to the view. It does now, and passes with -race.

--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -23,7 +23,12 @@
 	link := b.f.opts.Link
 	b.f.opts.Sender = sender.New(nil, sender.WithLink(link))
 	link.Written(shaper.Short, 40_000)
-	time.AfterFunc(50*time.Millisecond, during)
+	done := make(chan struct{})
+	time.AfterFunc(50*time.Millisecond, func() {
+		defer close(done)
+		during()
+	})
+	defer func() { <-done }()
 	h := http.Header{
 		testRequest: {"r1"},
 	}
