--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -37,14 +37,15 @@
 	if l := x.f.opts.Links; l != nil {
 		l.Begin(start)
 	}
-	resp, body, fault := x.send(ctx, t, start)
+	resp, body, fault := x.send(ctx, t)
 	if l := x.f.opts.Links; l != nil {
 		l.End(time.Now(), fault == nil)
 	}
 	if fault != nil {
 		tracked.failed(fault)
 		x.observeUploadFault(t, fault)
-		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded && ctx.Err() == nil
+		res.Unanswered = fault.Reason != sender.ReasonCancelled && fault.Reason != sender.ReasonOverloaded &&
+			!unsentByChoice(fault) && ctx.Err() == nil
 		return nil, x.noAnswer(t, fault)
 	}
 	reply := x.f.opts.Codec.Reply(resp.Status, resp.Header)
@@ -121,14 +122,14 @@
 		time.Until(x.deadline) > 2*x.f.serviceTime(x.route.Name).expected()
 }
 
-func (x *exchange) send(ctx context.Context, t *viewer.Target, start time.Time) (*sender.Response, []byte, *sender.Fault) {
+func (x *exchange) send(ctx context.Context, t *viewer.Target) (*sender.Response, []byte, *sender.Fault) {
 	resp, fault := x.f.opts.Sender.Send(ctx, &sender.Request{
 		Addr:         t.Addr,
 		Method:       x.req.Method,
 		URI:          x.req.URI,
 		Host:         x.req.Host,
 		Header:       x.header,
-		Fields:       x.f.opts.Codec.Fields(x.call, t, x.deadline.Sub(start)),
+		LateFields:   func() []sender.Field { return x.f.opts.Codec.Fields(x.call, t, time.Until(x.deadline)) },
 		Body:         x.req.Body,
 		Identity:     x.call.ID,
 		EchoHeader:   x.f.opts.Codec.EchoHeader(),
@@ -137,6 +138,7 @@
 		Deadline:     x.deadline,
 		Connections:  x.maxConnections(),
 		SettleTime:   settleTime,
+		Check:        x.recheck(t),
 
 		UniqueIdentity: true,
 	})
@@ -193,8 +195,8 @@
 	x.recordFailure(t, f.Reason, f.Error())
 	if !f.MayHaveRun {
 		// The connection was refused or none was free. Another target may run the request, but a key has only one
-		// owner.
-		return !x.service.Keyed
+		// owner, unless the key has moved.
+		return !x.service.Keyed || unsentByChoice(f)
 	}
 	return x.route.Repeatable && !x.service.Keyed
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -42,6 +42,9 @@
 	// Header is written as it is, apart from Content-Length and Host; the caller of Send must remove hop-by-hop headers.
 	Header http.Header
 	Fields []Field
+	// LateFields returns further fields once the request is about to be written, for those that depend on the time: the body may
+	// have waited for the link. It may be nil.
+	LateFields func() []Field
 	// Body holds the parts of the body, which are sent one after the other.
 	Body [][]byte
 	// Identity is the value that the answer must repeat in the header EchoHeader, by default Bramleyline-Request.
@@ -161,6 +164,15 @@
 // Send makes one attempt. It returns when the header of the answer was read, or with a *Fault. The context should carry
 // r.Deadline too: it bounds the wait for a connection, and its cancellation closes the connection.
 func (s *Sender) Send(ctx context.Context, r *Request) (*Response, *Fault) {
+	a := attempt{
+		req:  r,
+		ctx:  ctx,
+		link: s.link,
+	}
+	defer a.endFlow()
+	if f := a.awaitLink(); f != nil {
+		return nil, f
+	}
 	p, c, err := s.acquire(ctx, r)
 	if err != nil {
 		return nil, unsentFault(ctx, ReasonOverloaded, errors.Wrap(err, "no free connection"))
@@ -177,12 +189,7 @@
 			return nil, unsentFault(ctx, ReasonOverloaded, errConnectionRejected)
 		}
 	}
-	a := attempt{
-		conn: c,
-		req:  r,
-		ctx:  ctx,
-		link: s.link,
-	}
+	a.conn = c
 	return a.run()
 }
 
--- a/shaper/shaper.go
+++ b/shaper/shaper.go
@@ -39,7 +39,7 @@
 )
 
 // counters are the bytes written by class (control, short, bulk), pieces and the time they waited in ms, bodies received and the
-// time they waited in ms, slow callers, refusals by reason, saturations, and connections given up.
+// time they waited in ms, slow callers, callers that left, refusals by reason, saturations, and connections given up.
 var counters = expvar.NewMap("shaper")
 
 // Class is the class of a message that is written.
@@ -56,6 +56,9 @@
 	// Objective is the time up to which an answer is on time, Deadline that up to which the caller waits.
 	Objective time.Duration
 	Deadline  time.Duration
+	// MaxWait bounds the time that the body waits for its turn if Deadline is zero, beyond what it takes at minBulkShare of the
+	// link.
+	MaxWait time.Duration
 	// Work is the expected service time.
 	Work time.Duration
 	// Always says that the body is received in any case.
@@ -190,6 +193,9 @@
 	ready  chan struct{}
 	waited time.Duration
 	ended  bool
+	// waiting says that the flow waits to write a piece. activeAt is when it began, or might last write one.
+	waiting  bool
+	activeAt time.Time
 }
 
 // Send begins to send a body of size bytes. It returns nil if the body is not shaped. The caller must call End.
@@ -205,6 +211,7 @@
 		shaper: s,
 		ready:  make(chan struct{}, 1),
 	}
+	f.activeAt = f.began
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.out.flows = append(s.out.flows, f)
@@ -247,6 +254,17 @@
 	return n, err
 }
 
+// GiveBack gives back the last piece, which was not written, to other bodies.
+func (f *Flow) GiveBack() {
+	s := f.shaper
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.out.giveBack(now, f)
+	counters.Add("bytesBulk", -int64(f.piece))
+	s.grant(now)
+}
+
 // Waited returns the time that the pieces have waited for the link.
 func (f *Flow) Waited() time.Duration {
 	if f == nil {
@@ -308,11 +326,7 @@
 
 // backlog returns the time that the bodies in progress take on the link. The caller holds the lock.
 func (s *Shaper) backlog(now time.Time) time.Duration {
-	sum := s.out.queuedNow(now)
-	for _, f := range s.out.flows {
-		sum += float64(f.remaining)
-	}
-	return seconds((sum + s.in.backlog()) / s.rate)
+	return seconds((s.out.backlog(now) + s.in.backlog()) / s.rate)
 }
 
 // observe updates the saturation. The caller holds the lock.
--- a/shaper/shaper_test.go
+++ b/shaper/shaper_test.go
@@ -1,6 +1,7 @@
 package shaper
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -80,6 +81,46 @@
 	c.Assert(pieces, qt.Equals, 5)
 }
 
+// Guards against a turn that is lost to other bodies, or that lets them write too much, when it is given back.
+func TestPieceIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	p := pacer{
+		rate: 100_000,
+	}
+	first, second := flow(&p, 60_000, start), flow(&p, 90_000, start)
+	p.wait(start, first)
+	p.wait(start, second)
+	f, _ := p.next(start)
+	c.Assert(f, qt.Equals, first)
+	f, _ = p.next(start)
+	c.Assert(f, qt.IsNil)
+	p.giveBack(start, first)
+	c.Assert(first.remaining, qt.Equals, int64(60_000))
+	f, _ = p.next(start)
+	c.Assert(f, qt.Equals, second)
+	p.giveBack(start.Add(time.Second), second)
+	c.Assert(p.queued, qt.Equals, 0.0)
+}
+
+// Guards against a saturated host, and against refusals, because one target does not read.
+func TestStalledBodyIsNoBacklog(t *testing.T) {
+	c := qt.New(t)
+	s := New(2.2, nil)
+	p := &s.out
+	f := flow(p, 400_000, start)
+	p.wait(start, f)
+	c.Assert(s.backlog(start.Add(time.Minute)) > time.Second, qt.IsTrue)
+	now := start.Add(time.Minute)
+	got, _ := p.next(now)
+	c.Assert(got, qt.Equals, f)
+	c.Assert(s.backlog(now.Add(stalledTime/2)) > time.Second, qt.IsTrue)
+	now = now.Add(stalledTime)
+	c.Assert(s.backlog(now), qt.Equals, time.Duration(0))
+	c.Assert(p.ahead(now, 500_000), qt.Equals, 0.0)
+	p.wait(now, f)
+	c.Assert(s.backlog(now) > time.Second, qt.IsTrue)
+}
+
 // Guards against short bodies that wait behind long ones, and against a long one that always waits behind short ones.
 func TestShortestRemainderFirstWithAging(t *testing.T) {
 	c := qt.New(t)
@@ -221,3 +262,25 @@
 	c.Assert(s.class(start, Control, 50_000), qt.Equals, Short)
 	c.Assert(s.class(start.Add(time.Second), Control, 50_000), qt.Equals, Control)
 }
+
+// Guards against a body without a deadline that waits for its turn for ever.
+func TestWaitWithoutADeadlineIsBounded(t *testing.T) {
+	c := qt.New(t)
+	s := New(20, nil)
+	s.SetActive(true)
+	var last *Reception
+	for range s.in.turns() + 1 {
+		r, refusal := s.Receive(time.Now(), 10_000, Allowance{
+			MaxWait: 50 * time.Millisecond,
+		})
+		c.Assert(refusal, qt.IsNil)
+		defer r.End()
+		last = r
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := last.Wait(ctx, func() bool { return false })
+	c.Assert(err, qt.Equals, ErrLate)
+	c.Assert(time.Since(began) >= 80*time.Millisecond, qt.IsTrue)
+}
