--- a/forwarder/load.go
+++ b/forwarder/load.go
@@ -164,11 +164,14 @@
 	if !l.condition() {
 		return nil
 	}
-	x.load = l
-	x.age = x.f.timeout(x.route.Name).observe(now, x.call.CallerTimeout)
-	x.returning = x.age >= minOverloadDelay
+	age := x.f.timeout(x.route.Name).observe(now, x.call.CallerTimeout)
 	l.arrivals.Record(now, x.route.Priority, x.f.serviceTime(x.route.Name).expected())
 	l.refresh(now, v, pool, &x.f.opts)
+	if !l.prioritizer.Contended() {
+		return nil
+	}
+	x.load, x.age = l, age
+	x.returning = x.age >= minOverloadDelay
 	if x.returning {
 		counters.Add("returning", 1)
 	}
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -68,6 +68,13 @@
 	return p.pressure
 }
 
+// Contended reports whether priorities compete for the service: the demand of at least two exceeds the usable capacity.
+func (p *Prioritizer) Contended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pressure > 1 && len(p.shares.byPriority) > 1
+}
+
 // Share returns the share of the requests of a priority that is admitted.
 func (p *Prioritizer) Share(priority int) float64 {
 	p.mu.Lock()
