Refuse by priority only under clear contention; remove the waits for queues

Change: priorities are considered only while at least two compete for more than 1.6 times the capacity of a service; the waits and their tests are removed.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -211,7 +211,7 @@
 		if freeSlots {
 			x.retryAfter = retryAfterRejection
 		}
-		return freeSlots || !x.service.Keyed || x.mayRetryFullQueue(r.Load)
+		return freeSlots || !x.service.Keyed
 	}
 	x.recordFailure(t, sender.ReasonStaleRoute, "target is another one or does not hold the key")
 	if !x.service.Keyed {
@@ -219,15 +219,6 @@
 	}
 	x.ownerStale = true
 	x.staleAttempts++
-	if x.load != nil {
-		// A target that rejects the key twice has no grant on its way, so the request waits for another owner.
-		repeated := x.staleTarget == t.Incarnation
-		x.staleTarget = t.Incarnation
-		if !repeated && !x.awaitOwner(ctx, t, staleWait) {
-			x.ownerStale = false
-		}
-		return x.staleAttempts < maxLoadStaleAttempts && ctx.Err() == nil
-	}
 	v, changed := x.f.opts.View()
 	if owner, _ := x.usableOwner(v, time.Now()); owner == nil && !x.awaitView(ctx, changed, grantWait) {
 		// No other owner is known. The target's grant may still have been in flight, so the same target is tried again.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -54,15 +54,6 @@
 	maxTotalAttempts = 4
 	// maxStaleAttempts bounds the attempts at targets that do not own the key, or not yet.
 	maxStaleAttempts = 3
-	// maxLoadStaleAttempts replaces maxStaleAttempts for slow services: while a range is split around hot keys, a key moves
-	// several times within the time that its request has. They do not count as attempts of maxTotalAttempts there.
-	maxLoadStaleAttempts = 6
-	// staleWait replaces grantWait for slow services. A view reaches a host up to 100 ms after its commit, so a target
-	// that does not own the key is more often the last owner than the next one.
-	staleWait = 120 * time.Millisecond
-	// ownerWaitObjective is the share of the objective that the wait for the next owner may take, if that is longer than
-	// maxOwnerWait.
-	ownerWaitObjective = 0.4
 	// retryAfterNoOwner, retryAfterNoTarget and retryAfterNoTable are Retry-After delays: about the time until a key
 	// has an owner again, a target has a free slot again, and a host that started has its traffic table.
 	retryAfterNoOwner  = 500 * time.Millisecond
@@ -113,12 +104,6 @@
 	// before, and waited.
 	age       time.Duration
 	returning bool
-	// waited is true if the request waited for a shorter queue.
-	waited bool
-	// fullQueues is the number of rejections by targets whose queue was full.
-	fullQueues int
-	// staleTarget is the last target that answered that it does not own the key.
-	staleTarget registrar.Incarnation
 
 	// tried lists the incarnations of targets to which the request was sent, in the order of their first attempts.
 	tried []registrar.Incarnation
@@ -223,17 +208,9 @@
 			}
 			return x.relay(ctx)
 		}
-		if !retry || x.possibleRuns >= max(1, x.route.MaxAttempts) || x.countedAttempts() >= maxTotalAttempts ||
+		if !retry || x.possibleRuns >= max(1, x.route.MaxAttempts) || x.attempts >= maxTotalAttempts ||
 			time.Until(x.deadline) < minAttemptTime {
 			return x.giveUp(x.result, x.retryAfter)
 		}
 	}
 }
-
-// countedAttempts returns the number of attempts that maxTotalAttempts bounds.
-func (x *exchange) countedAttempts() int {
-	if x.load != nil {
-		return x.attempts - x.staleAttempts
-	}
-	return x.attempts
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,8 +110,6 @@
 	uploads       uploads
 	loads         sync.Map // service to *serviceLoad
 	timeouts      sync.Map // route to *timeoutEstimate
-	// waiting is the number of requests that wait for a shorter queue.
-	waiting atomic.Int32
 }
 
 // serviceTimeEstimate is the expected service time of the requests of one route, an exponentially weighted moving
--- a/forwarder/load.go
+++ b/forwarder/load.go
@@ -187,19 +187,11 @@
 	return x.refuse(reasonPriority, retryAfterNoTarget)
 }
 
-// spent returns the time since the caller's first attempt.
-func (x *exchange) spent(now time.Time) time.Duration {
-	return x.age + now.Sub(x.req.Arrived)
-}
-
 // loadRetryAfter returns the Retry-After delay of a refusal whose cause takes delay to end: drawn from one to two times that,
 // so that callers do not return together, and within the time that the caller has left.
-func (x *exchange) loadRetryAfter(now time.Time, reason string, delay time.Duration) time.Duration {
-	if reason == reasonPriority || reason == reasonOverloaded {
-		if pressure := x.load.prioritizer.Pressure(); pressure > 1 {
-			delay = max(delay, min(maxOverloadDelay, time.Duration(pressure*pressure*float64(minOverloadDelay))))
-		}
-	}
+func (x *exchange) loadRetryAfter(now time.Time, delay time.Duration) time.Duration {
+	pressure := x.load.prioritizer.Pressure()
+	delay = max(delay, min(maxOverloadDelay, time.Duration(pressure*pressure*float64(minOverloadDelay))))
 	left := x.route.Timeout
 	if t := x.call.CallerTimeout; t > 0 {
 		left = t
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -9,7 +9,6 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/selector"
-	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -54,12 +53,8 @@
 
 // refuse returns the answer that says that the request did not run and may be retried after the delay retryAfter.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) *acceptor.Answer {
-	if x.load != nil {
-		switch reason {
-		case reasonPriority, reasonOverloaded, reasonNoTarget, reasonNoOwner, reasonUnreachable, reasonDeadline,
-			sender.ReasonStaleRoute:
-			retryAfter = x.loadRetryAfter(time.Now(), reason, retryAfter)
-		}
+	if reason == reasonPriority {
+		retryAfter = x.loadRetryAfter(time.Now(), retryAfter)
 	}
 	a := x.fail(http.StatusServiceUnavailable, reason)
 	a.Header = http.Header{
--- a/forwarder/owner.go
+++ b/forwarder/owner.go
@@ -7,7 +7,6 @@
 
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/limiter"
-	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/viewer"
 )
@@ -25,26 +24,14 @@
 	}
 	need := selector.Need{
 		Work:      x.f.serviceTime(x.route.Name).expected(),
-		Objective: x.route.Objective - x.spent(now),
+		Objective: x.route.Objective - now.Sub(x.req.Arrived),
 	}
 	if t := x.uploadTarget(ctx, now, v, pool, need); t != nil {
 		return t, nil
 	}
 	excluded, reason, retryAfter := x.tried, reasonNoTarget, retryAfterNoTarget
-	unsuitable := 0
 	for t := x.f.opts.Selector.Choose(now, pool, need, excluded); t != nil; {
-		e := x.f.opts.Selector.Estimate(now, t, need.Work)
-		if x.load != nil && !x.acceptable(now, e) {
-			if unsuitable++; unsuitable == maxUnsuitable {
-				counters.Add("refusedLate", 1)
-				return nil, x.giveUp(reasonOverloaded, retryAfterNoTarget)
-			}
-			reason = reasonOverloaded
-			excluded = append(slices.Clip(excluded), t.Incarnation)
-			t = x.f.opts.Selector.Choose(now, pool, need, excluded)
-			continue
-		}
-		if e.Wait >= x.deadline.Sub(now) {
+		if e := x.f.opts.Selector.Estimate(now, t, need.Work); e.Wait >= x.deadline.Sub(now) {
 			return nil, x.giveUp(reasonOverloaded, retryAfterNoTarget)
 		}
 		// Another target may serve the request at once, so it does not wait for a token.
@@ -54,7 +41,7 @@
 		if refusal == nil {
 			return t, nil
 		}
-		if reason != reasonLimited || refusal.RetryAfter < retryAfter {
+		if reason == reasonNoTarget || refusal.RetryAfter < retryAfter {
 			reason, retryAfter = reasonLimited, refusal.RetryAfter
 		}
 		excluded = append(slices.Clip(excluded), t.Incarnation)
@@ -88,22 +75,12 @@
 
 // owner returns the target that owns the key. During a hand-over of the key it waits a bounded time for the next owner.
 func (x *exchange) owner(ctx context.Context) (*viewer.Target, *acceptor.Answer) {
-	waitUntil := x.ownerWaitUntil(time.Now())
+	wait := min(maxOwnerWait, time.Duration(ownerWaitShare*float64(time.Until(x.deadline))))
+	waitUntil := time.Now().Add(wait)
 	for {
 		v, changed := x.f.opts.View()
 		now := time.Now()
 		t, pending := x.usableOwner(v, now)
-		if t != nil && x.load != nil {
-			ready, refusal := x.awaitQueue(ctx, now, t, changed)
-			if refusal != nil {
-				return nil, refusal
-			}
-			if !ready {
-				// A key that begins to move now has its whole time for that.
-				waitUntil = x.ownerWaitUntil(time.Now())
-				continue
-			}
-		}
 		if t != nil {
 			if refusal := x.admit(ctx, now, v, t); refusal != nil {
 				return nil, refusal
@@ -116,43 +93,11 @@
 			continue
 		}
 		if !pending || !now.Before(waitUntil) || !x.awaitView(ctx, changed, waitUntil.Sub(now)) {
-			if x.load != nil {
-				counters.Add("refusedNoOwner", 1)
-			}
 			return nil, x.giveUp(reasonNoOwner, retryAfterNoOwner)
 		}
 	}
 }
 
-// ownerWaitUntil returns how long a request waits for the next owner of its key from now on.
-func (x *exchange) ownerWaitUntil(now time.Time) time.Time {
-	left := x.deadline.Sub(now)
-	if x.load == nil {
-		return now.Add(min(maxOwnerWait, time.Duration(ownerWaitShare*float64(left))))
-	}
-	wait := max(maxOwnerWait, time.Duration(ownerWaitObjective*float64(x.route.Objective)))
-	answer := time.Duration(deadlineMargin * float64(x.f.serviceTime(x.route.Name).expected()))
-	return now.Add(min(wait, left-answer))
-}
-
-// awaitOwner waits until the key moves away from the target t in the view or the timeout passes. It reports whether it does.
-func (x *exchange) awaitOwner(ctx context.Context, t *viewer.Target, timeout time.Duration) bool {
-	for until := time.Now().Add(timeout); ; {
-		v, changed := x.f.opts.View()
-		pool, ok := v.Pool(x.service.Name)
-		if !ok {
-			return true
-		}
-		owner, releasing := pool.Owner(x.call.Key)
-		if releasing || owner == nil || owner.Incarnation != t.Incarnation {
-			return true
-		}
-		if !x.awaitView(ctx, changed, time.Until(until)) {
-			return false
-		}
-	}
-}
-
 // stillOwner reports whether t is the usable owner of the key after a wait for a token or for the place of an upload. The key may
 // have moved, or the time of an owner that drains may have ended, which is not a newer view.
 func (x *exchange) stillOwner(t *viewer.Target) bool {
@@ -170,13 +115,9 @@
 	}
 	t, releasing := pool.Owner(x.call.Key)
 	if releasing {
-		if x.load != nil {
-			// The target that did not own the key may get it again.
-			x.ownerStale = false
-		}
 		return nil, true
 	}
-	if t == nil || x.ownerStale && t.Incarnation == x.lastStale() {
+	if t == nil || x.ownerStale && t.Incarnation == x.tried[len(x.tried)-1] {
 		return nil, t != nil
 	}
 	l := x.f.opts.Limits
@@ -186,16 +127,7 @@
 	return t, false
 }
 
-// lastStale returns the target that answered last that it does not own the key.
-func (x *exchange) lastStale() registrar.Incarnation {
-	if x.load != nil {
-		return x.staleTarget
-	}
-	return x.tried[len(x.tried)-1]
-}
-
-// admit returns a refusal if t, the owner of the key, cannot begin the request in time, which awaitQueue has considered for
-// slow services. It may wait for a token of t.
+// admit returns a refusal if t, the owner of the key, cannot begin the request in time. It may wait for a token of t.
 func (x *exchange) admit(ctx context.Context, now time.Time, v *viewer.View, t *viewer.Target) *acceptor.Answer {
 	if x.f.opts.Selector.Unresponsive(now, t.Incarnation) {
 		return x.giveUp(reasonUnreachable, retryAfterNoOwner)
@@ -205,14 +137,14 @@
 	}
 	serviceTime := x.f.serviceTime(x.route.Name).expected()
 	e := x.f.opts.Selector.Estimate(now, t, serviceTime)
-	if x.load == nil && e.InFlight >= x.maxConnections() {
+	if e.InFlight >= x.maxConnections() {
 		return x.giveUp(reasonOverloaded, retryAfterNoTarget)
 	}
 	left := min(
 		x.deadline.Sub(now),
-		max(serviceTime/2, x.route.Objective-x.spent(now)-serviceTime/2),
+		max(serviceTime/2, x.route.Objective-now.Sub(x.req.Arrived)-serviceTime/2),
 	)
-	if x.load == nil && e.Wait >= left {
+	if e.Wait >= left {
 		return x.giveUp(reasonOverloaded, min(e.Wait-left+retryAfterNoTarget, retryAfterNoOwner))
 	}
 	r := limiter.Request{
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// usableShare is the load, as a part of the capacity, up to which requests are admitted. It is above one, because targets
-	// queue what waves of some seconds bring, and the capacity counts slow periods that are partly over when a queue builds up:
-	// refusing from 0.85 on cost callers more than the queues did.
-	usableShare = 1.15
+	// usableShare is the demand, as a multiple of the capacity, up to which requests are admitted. Targets queue what waves of
+	// some seconds bring; refusing from 0.85 or 1.15 on cost callers more than those queues.
+	usableShare = 1.6
 	// minShareFactor is the least share of a priority, as a part of the share of all work together. A quarter of the
 	// requests is required; shares are of work, so there is a margin for routes with different service times.
 	minShareFactor = 0.3
@@ -129,9 +128,10 @@
 // divide gives the capacity to the priorities in their order, but to each at least the minimum. It returns the demand as a
 // multiple of capacity, too.
 func divide(capacity float64, demand []Demand) (shares, float64) {
+	demand = slices.DeleteFunc(slices.Clone(demand), func(d Demand) bool { return d.Work <= 0 })
 	total := 0.0
 	for _, d := range demand {
-		total += max(0, d.Work)
+		total += d.Work
 	}
 	if capacity <= 0 || total <= 0 {
 		return shares{least: 1}, 0
@@ -144,7 +144,6 @@
 	s := shares{
 		least: minShareFactor * min(1, 1/pressure),
 	}
-	demand = slices.Clone(demand)
 	slices.SortFunc(demand, func(a, b Demand) int { return a.Priority - b.Priority })
 	left := capacity - s.least*total
 	for _, d := range demand {
@@ -152,7 +151,7 @@
 		if work := (1 - s.least) * d.Work; work > left {
 			admitted = s.least + (1-s.least)*left/work
 		}
-		left = max(0, left-(1-s.least)*max(0, d.Work))
+		left = max(0, left-(1-s.least)*d.Work)
 		s.byPriority = append(s.byPriority, share{
 			priority: d.Priority,
 			admitted: admitted,
