--- a/director/entry.go
+++ b/director/entry.go
@@ -40,6 +40,9 @@
 	// maxReportedRequests bounds the requests of one service in a report: at 5 bytes each, sending them at 2 Mbit/s takes
 	// 40 ms.
 	maxReportedRequests = 2048
+	// maxHeldUp is the age of the state from which a host with a narrow link counts as overloaded. A pull takes at most
+	// pullWait and some milliseconds.
+	maxHeldUp = time.Second
 	// trimInterval is the time between two scans for connections and targets that are not used any more.
 	trimInterval = 2 * time.Second
 	// forgetAfter is how long the statistics of a target are kept after its last request.
@@ -213,8 +216,14 @@
 	return matcher.Limits{}
 }
 
+// linkOverloaded reports whether the link of this host holds up the updates of its state. The balancer then gives new
+// connections to other hosts; connections are spread by a hash, so one host may get more than its link bears.
+func (e *entry) linkOverloaded() bool {
+	return e.d.link.Active() && e.stateAge() > maxHeldUp
+}
+
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if v, _ := e.currentView(); v == nil || v.Table == nil || e.d.stopping.Load() {
+	if v, _ := e.currentView(); v == nil || v.Table == nil || e.d.stopping.Load() || e.linkOverloaded() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -59,6 +59,9 @@
 	retryAfterNoOwner  = 500 * time.Millisecond
 	retryAfterNoTarget = 200 * time.Millisecond
 	retryAfterNoTable  = time.Second
+	// maxTableAge is the age of the view up to which a host answers 404 where its table has no route. A newer table, which an
+	// overloaded link may hold up, may have one.
+	maxTableAge = time.Second
 	// retryAfterRejection is the Retry-After delay after a target rejected the request although it had free slots.
 	retryAfterRejection = 10 * time.Millisecond
 	// urgentTokenShare and tokenShare are the shares of the time to the objective, less the expected service time, that a
@@ -137,6 +140,9 @@
 	}
 	route, ok := v.Table.Match(x.req.Host, x.req.Path)
 	if !ok {
+		if x.viewAge() > maxTableAge {
+			return x.refuse(reasonNoRoute, retryAfterNoTable)
+		}
 		return x.fail(http.StatusNotFound, reasonNoRoute)
 	}
 	x.route = route
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -155,6 +155,17 @@
 	c.Assert(old.Load(), qt.Equals, int32(0))
 }
 
+// Guards against a 404 for a route that a newer table has, which has not reached this host because its link is overloaded.
+func TestUnknownRouteIsRefusedWithAnOldTable(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(c)
+	b.putTable()
+	b.f.opts.ViewAge = func() time.Duration { return maxTableAge + time.Millisecond }
+	a := b.send(context.Background(), http.MethodGet, "/unknown/1")
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(a.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
 // Guards against a 404 answer from a host that has no traffic table yet and so cannot tell whether the route exists.
 func TestUnknownRouteIsNotFoundOnlyWithATable(t *testing.T) {
 	c := qt.New(t)
