--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -101,7 +101,7 @@
 	// resp is the last answer of a target whose memory is reserved, nil if there is none.
 	resp *sender.Response
 
-	// load is the load of the service, nil if the service answers fast.
+	// load is the load of the service, nil unless priorities compete for it.
 	load *serviceLoad
 	// age is the time between the first attempt of the caller and this one. returning says that the caller was refused
 	// before, and waited.
--- a/forwarder/load.go
+++ b/forwarder/load.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// minLoadServiceTime is the mean service time of a service from which priority, waiting and returning callers are
+	// minLoadServiceTime is the mean service time of a service from which priority and returning callers are
 	// considered: where answers take less, the state of a service has changed before a decision takes effect. Below
 	// endLoadServiceTime they are not any more; between the two nothing changes, so that they do not flap.
 	minLoadServiceTime = 220 * time.Millisecond
