--- a/lessor/share.go
+++ b/lessor/share.go
@@ -139,7 +139,7 @@
 // other moves should be planned then: they would carry single keys of these spans.
 func (l *Lessor) splitHotSpans(service string, ranges []registrar.Range) bool {
 	e := l.view.Estimators[service]
-	if e == nil || !e.Measured(l.now) || l.now.Sub(l.elected) < hotWait ||
+	if e == nil || !e.Measured(l.now) || e.MeanServiceTime() < minHotServiceTime || l.now.Sub(l.elected) < hotWait ||
 		l.now.Before(l.hotCheckedAt[service].Add(hotInterval)) {
 		return false
 	}
