--- a/sender/memory_test.go
+++ b/sender/memory_test.go
@@ -140,6 +140,10 @@
 					r.Connections = requests
 					r.Deadline = time.Now().Add(2 * time.Second)
 					_, f := readAll(s, r)
+					// A busy machine does not open each connection within dialTimeout. Nothing was sent then.
+					for f != nil && f.Reason == ReasonUnreachable && time.Now().Before(r.Deadline) {
+						_, f = readAll(s, r)
+					}
 					if c.Check(f != nil && f.MayHaveRun, qt.IsTrue, qt.Commentf("%v", f)) && f.Reason == ReasonMemory {
 						refused.Add(1)
 					}
