Take only unanswered pulls for an overloaded link, and only where links are scheduled

A host with a scheduled link counted as overloaded from the age of the leader's contact, which grows on all hosts at once while a leader is elected, so that all became unready and declined requests of hosts without links. The 503 in place of a 404 applied to every deployment.

Change: readiness follows the time since a control host last answered a pull; relayed requests are not declined for it; the 503 needs a scheduled link.

--- a/director/entry.go
+++ b/director/entry.go
@@ -40,9 +40,9 @@
 	// maxReportedRequests bounds the requests of one service in a report: at 5 bytes each, sending them at 2 Mbit/s takes
 	// 40 ms.
 	maxReportedRequests = 2048
-	// maxHeldUp is the age of the state from which a host with a narrow link counts as overloaded. A pull takes at most
-	// pullWait and some milliseconds.
-	maxHeldUp = time.Second
+	// maxSilence is how long pulls may go without an answer until a host with a narrow link counts as overloaded. An answer takes
+	// at most pullWait and some milliseconds.
+	maxSilence = time.Second
 	// trimInterval is the time between two scans for connections and targets that are not used any more.
 	trimInterval = 2 * time.Second
 	// forgetAfter is how long the statistics of a target are kept after its last request.
@@ -81,6 +81,9 @@
 	links    *entryLinks
 	memory   *entryMemory
 
+	// silence returns the time since a control host last answered a pull.
+	silence func() time.Duration
+
 	mu      sync.Mutex
 	view    *viewer.View
 	changed chan struct{}
@@ -118,6 +121,7 @@
 			Slow:       make(chan struct{}, 1),
 		},
 		changed: make(chan struct{}),
+		silence: d.puller.Silence,
 	}
 	e.loads.name, e.loads.selector, e.loads.log = s.Name, e.selector, d.log
 	e.loads.view = func() *viewer.View {
@@ -217,9 +221,10 @@
 }
 
 // linkOverloaded reports whether the link of this host holds up the updates of its state. The balancer then gives new
-// connections to other hosts; connections are spread by a hash, so one host may get more than its link bears.
+// connections to other hosts; connections are spread by a hash, so one host may get more than its link bears. The age of the
+// contact with the leader would not do: it grows on all hosts at once while a leader is elected.
 func (e *entry) linkOverloaded() bool {
-	return e.d.link.Active() && e.stateAge() > maxHeldUp
+	return e.d.link.Active() && e.silence() > maxSilence
 }
 
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/director/links.go
+++ b/director/links.go
@@ -101,7 +101,7 @@
 // ready reports whether this host can serve the requests of others.
 func (l *entryLinks) ready() bool {
 	v, _ := l.entry.currentView()
-	return v != nil && v.Table != nil && !l.entry.d.stopping.Load() && !l.detector.Lost() && !l.entry.linkOverloaded()
+	return v != nil && v.Table != nil && !l.entry.d.stopping.Load() && !l.detector.Lost()
 }
 
 // limits returns the limits of callers, which other hosts have checked, with room for the headers between hosts.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -59,8 +59,8 @@
 	retryAfterNoOwner  = 500 * time.Millisecond
 	retryAfterNoTarget = 200 * time.Millisecond
 	retryAfterNoTable  = time.Second
-	// maxTableAge is the age of the view up to which a host answers 404 where its table has no route. A newer table, which an
-	// overloaded link may hold up, may have one.
+	// maxTableAge is the age of the view up to which a host with a narrow link answers 404 where its table has no route. A newer
+	// table, which an overloaded link may hold up, may have one.
 	maxTableAge = time.Second
 	// retryAfterRejection is the Retry-After delay after a target rejected the request although it had free slots.
 	retryAfterRejection = 10 * time.Millisecond
@@ -140,7 +140,7 @@
 	}
 	route, ok := v.Table.Match(x.req.Host, x.req.Path)
 	if !ok {
-		if x.viewAge() > maxTableAge {
+		if x.f.opts.Link.Active() && x.viewAge() > maxTableAge {
 			return x.refuse(reasonNoRoute, retryAfterNoTable)
 		}
 		return x.fail(http.StatusNotFound, reasonNoRoute)
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -75,6 +75,8 @@
 	leader string
 	// contactAt is when the leader was last known to be in contact with a majority and with the source of this host.
 	contactAt time.Time
+	// answeredAt is when a source last answered a pull.
+	answeredAt time.Time
 	// confirmed is what Confirmed returns.
 	confirmed bool
 
@@ -162,6 +164,14 @@
 	return p.leader, timekeeper.Since(p.contactAt)
 }
 
+// Silence returns the time since a source last answered a pull. Unlike the age of the contact, it does not grow while there is no
+// leader.
+func (p *Puller) Silence() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return timekeeper.Since(p.answeredAt)
+}
+
 // Confirmed reports whether the state has been the newest, or at most maxSourceAge old, at some time since the start.
 // Before that, it may come from a source that has not caught up yet.
 func (p *Puller) Confirmed() bool {
@@ -240,6 +250,9 @@
 
 // sourceAnswered makes s the source in use and logs a change.
 func (p *Puller) sourceAnswered(s Source) {
+	p.mu.Lock()
+	p.answeredAt = timekeeper.Now()
+	p.mu.Unlock()
 	if p.swapSource(s.Addr) != s.Addr && p.log != nil {
 		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index)
 	}
--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -157,3 +157,14 @@
 	s.mu.Unlock()
 	eventually(c, p.Confirmed)
 }
+
+// Guards against a host that takes the lack of a leader for that of answers, and the other way round.
+func TestSilenceEndsWithAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	p := New(nil, nil, nil)
+	c.Assert(p.Silence() > time.Minute, qt.IsTrue)
+	p.sourceAnswered(Source{})
+	c.Assert(p.Silence() < time.Minute, qt.IsTrue)
+	_, age := p.Contact()
+	c.Assert(age > time.Minute, qt.IsTrue)
+}
