Keep the decisions under load in modules of their own

Cause: read-through.

Change: package classifier holds the rule; prioritizer computes Retry-After and admits capacity x (1 + slack / 4 s), where the slack is how long requests can wait by the tightest timeout of their service.

--- a/director/loads.go
+++ b/director/loads.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"bramleyline.example/bramleyline/aggregator"
+	"bramleyline.example/bramleyline/classifier"
 	"bramleyline.example/bramleyline/prioritizer"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/selector"
@@ -15,13 +16,8 @@
 )
 
 const (
-	// minServiceTime is the mean service time of a service from which its loads are exchanged: those of shorter requests have
-	// changed by the time they arrive. Once exchanged, they are until the mean falls below keepServiceTime, so that a service
-	// whose mean is about as long does not change all the time.
-	minServiceTime  = 220 * time.Millisecond
-	keepServiceTime = 200 * time.Millisecond
-	// serviceTimeWeight is the least weight of one arrival in the mean service time of a service.
-	serviceTimeWeight = 0.02
+	// classifiedArrivals is the number of the latest arrivals by which a service is classified.
+	classifiedArrivals = 50
 	// maxDemandAge is the age from which demand counts as unknown.
 	maxDemandAge = 2 * time.Second
 	// minReporting is the share of the hosts that have to report, so that sums over them are used. Old builds do not report.
@@ -54,11 +50,8 @@
 
 // arrivals is the work that arrived for one service.
 type arrivals struct {
-	// mean is the mean expected service time of count arrivals.
-	mean  time.Duration
-	count int
-	// active says that the service meets the condition.
-	active bool
+	// class tells whether requests are so long that loads are exchanged.
+	class classifier.Classifier
 	// work is the work that arrived since the last report, by priority.
 	work map[int]time.Duration
 }
@@ -87,15 +80,15 @@
 	a, ok := l.services[service]
 	if !ok {
 		a = &arrivals{
+			class: classifier.Classifier{
+				MaxSamples: classifiedArrivals,
+			},
 			work: make(map[int]time.Duration),
 		}
 		l.services[service] = a
 	}
-	a.count++
-	a.mean += time.Duration(max(serviceTimeWeight, 1/float64(a.count)) * float64(serviceTime-a.mean))
-	if active := a.mean >= minServiceTime || a.active && a.mean >= keepServiceTime; active != a.active {
-		a.active = active
-		l.log.Info("exchange of loads", "service", service, "active", active, "serviceTime", a.mean)
+	if a.class.Observe(serviceTime) {
+		l.log.Info("exchange of loads", "service", service, "active", a.class.Long(), "serviceTime", a.class.Mean())
 	}
 	a.work[priority] += serviceTime
 }
@@ -124,7 +117,7 @@
 			delete(l.targets, name)
 			continue
 		}
-		if a.active {
+		if a.class.Long() {
 			m.Services = append(m.Services, a.message(name, m.Elapsed))
 		}
 		clear(a.work)
@@ -280,7 +273,7 @@
 	}
 	var lists memberLists
 	for _, s := range services {
-		if a, ok := l.services[s.Service]; ok && a.active {
+		if a, ok := l.services[s.Service]; ok && a.class.Long() {
 			lists = append(lists, memberList{
 				targets: l.index(s.Service),
 				scale:   hostScale(v.Hosts, s.Hosts),
@@ -320,7 +313,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, a := range l.services {
-		if a.active {
+		if a.class.Long() {
 			return max(0, earlyReportInterval-now.Sub(l.reportedAt)), true
 		}
 	}
--- a/forwarder/load.go
+++ b/forwarder/load.go
@@ -7,21 +7,17 @@
 	"time"
 
 	"bramleyline.example/bramleyline/acceptor"
+	"bramleyline.example/bramleyline/classifier"
 	"bramleyline.example/bramleyline/prioritizer"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/viewer"
 )
 
 const (
-	// minLoadServiceTime is the mean service time of a service from which priority and returning callers are
-	// considered: where answers take less, the state of a service has changed before a decision takes effect. Below
-	// endLoadServiceTime they are not any more; between the two nothing changes, so that they do not flap.
-	minLoadServiceTime = 220 * time.Millisecond
-	endLoadServiceTime = 200 * time.Millisecond
-	// minLoadSamples is the number of answers that the mean needs, and maxLoadSamples the number of the latest ones that
-	// it covers about.
-	minLoadSamples = 20
-	maxLoadSamples = 200
+	// minClassified is the number of answers that the class of a service needs, and maxClassified the number of the latest ones
+	// by which it is classified. maxClassified also bounds those of the mean variation.
+	minClassified = 20
+	maxClassified = 200
 	// demandMaxAge is the age from which the demand of all hosts counts as unknown.
 	demandMaxAge = 2 * time.Second
 	// loadRefresh is the least time between two computations of the shares of a service.
@@ -30,14 +26,6 @@
 	overloadLogInterval = time.Second
 	// maxVariation bounds a report of how much slower a target is than its rating.
 	maxVariation = 5
-	// minOverloadDelay is the least Retry-After delay of an overload, and the least age of a caller that returns after it.
-	// maxOverloadDelay bounds the delay before it is drawn.
-	minOverloadDelay = 200 * time.Millisecond
-	maxOverloadDelay = 2 * time.Second
-	// retryAfterShare is the share of the time that a caller has left that Retry-After may take. Callers wait no longer.
-	retryAfterShare = 1.0 / 3
-	// minRetryAfter is the shortest delay that the header can express.
-	minRetryAfter = 10 * time.Millisecond
 )
 
 var counters = expvar.NewMap("forwarder")
@@ -48,11 +36,8 @@
 	arrivals    prioritizer.Arrivals
 
 	mu sync.Mutex
-	// mean is the mean service time and samples the number of answers that it covers.
-	mean    time.Duration
-	samples int
-	// applies says that the mean is long enough.
-	applies bool
+	// class tells whether requests are long.
+	class classifier.Classifier
 	// variation is the mean of the slowness that answers report divided by the rated slowness of their target, and
 	// variationSamples the number of reports that it covers.
 	variation        float64
@@ -68,6 +53,10 @@
 		return l.(*serviceLoad)
 	}
 	l, _ := f.loads.LoadOrStore(service, &serviceLoad{
+		class: classifier.Classifier{
+			MinSamples: minClassified,
+			MaxSamples: maxClassified,
+		},
 		prioritizer: prioritizer.Prioritizer{
 			Phase: rand.Float64(),
 		},
@@ -87,15 +76,7 @@
 func (l *serviceLoad) observe(took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.samples = min(l.samples+1, maxLoadSamples)
-	l.mean += (took - l.mean) / time.Duration(l.samples)
-	switch {
-	case l.samples < minLoadSamples:
-	case l.mean >= minLoadServiceTime:
-		l.applies = true
-	case l.mean < endLoadServiceTime:
-		l.applies = false
-	}
+	l.class.Observe(took)
 }
 
 // observeVariation records the slowness that a target reported.
@@ -109,14 +90,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.variationSamples = min(l.variationSamples+1, maxLoadSamples)
+	l.variationSamples = min(l.variationSamples+1, maxClassified)
 	l.variation += (min(variation, maxVariation) - l.variation) / float64(l.variationSamples)
 }
 
-func (l *serviceLoad) condition() bool {
+func (l *serviceLoad) long() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.applies
+	return l.class.Long()
 }
 
 // refresh computes the shares of the service, unless that was done a short time ago.
@@ -134,10 +115,10 @@
 		capacity /= max(1, l.variation)
 	}
 	if c.Cold > 0 {
-		capacity += float64(c.Cold) * (svc.ColdRate*o.Limits.ColdFactor + o.Limits.ColdSlack) * l.mean.Seconds()
+		capacity += float64(c.Cold) * (svc.ColdRate*o.Limits.ColdFactor + o.Limits.ColdSlack) * l.class.Mean().Seconds()
 	}
 	demand, known := l.demand(now, v, svc.Name, o)
-	l.prioritizer.Update(capacity, demand)
+	l.prioritizer.Update(capacity, v.Table.TightestTimeout(svc.Name)-l.class.Mean(), demand)
 	pressure := l.prioritizer.Pressure()
 	if pressure > 1 != l.overloaded && now.Sub(l.loggedAt) >= overloadLogInterval {
 		l.overloaded, l.loggedAt = pressure > 1, now
@@ -161,7 +142,7 @@
 // nothing.
 func (x *exchange) considerLoad(now time.Time, v *viewer.View, pool *viewer.Pool) *acceptor.Answer {
 	l := x.f.serviceLoad(x.service.Name)
-	if !l.condition() {
+	if !l.long() {
 		return nil
 	}
 	age := x.f.timeout(x.route.Name).observe(now, x.call.CallerTimeout)
@@ -171,7 +152,7 @@
 		return nil
 	}
 	x.load, x.age = l, age
-	x.returning = x.age >= minOverloadDelay
+	x.returning = x.age >= prioritizer.MinRetryAfter
 	if x.returning {
 		counters.Add("returning", 1)
 	}
@@ -184,21 +165,6 @@
 		return nil
 	}
 	counters.Add("refusedByPriority", 1)
-	return x.refuse(reasonPriority, retryAfterNoTarget)
-}
-
-// loadRetryAfter returns the Retry-After delay of a refusal whose cause takes delay to end: drawn from one to two times that,
-// so that callers do not return together, and within the time that the caller has left.
-func (x *exchange) loadRetryAfter(now time.Time, delay time.Duration) time.Duration {
-	pressure := x.load.prioritizer.Pressure()
-	delay = max(delay, min(maxOverloadDelay, time.Duration(pressure*pressure*float64(minOverloadDelay))))
-	left := x.route.Timeout
-	if t := x.call.CallerTimeout; t > 0 {
-		left = t
-	}
-	if left > 0 {
-		delay = min(delay, time.Duration(retryAfterShare/2*float64(left-now.Sub(x.req.Arrived))))
-	}
-	delay = max(delay, minRetryAfter)
-	return delay + rand.N(delay)
+	left := timeout(x.route, x.call) - now.Sub(x.req.Arrived)
+	return x.refuse(reasonPriority, l.prioritizer.RetryAfter(left, rand.Float64()))
 }
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -53,9 +53,6 @@
 
 // refuse returns the answer that says that the request did not run and may be retried after the delay retryAfter.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) *acceptor.Answer {
-	if reason == reasonPriority {
-		retryAfter = x.loadRetryAfter(time.Now(), retryAfter)
-	}
 	a := x.fail(http.StatusServiceUnavailable, reason)
 	a.Header = http.Header{
 		"Retry-After": {strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64)},
--- a/lessor/lessor.go
+++ b/lessor/lessor.go
@@ -67,9 +67,6 @@
 	maxHotRanges = 6
 	// hotInterval is the least time between two checks for hot spans. A check reads the load of each key, in 0.2 ms.
 	hotInterval = 45 * time.Millisecond
-	// minHotServiceTime is the mean service time of a service from which hot spans are split at once. The many moves delay the
-	// requests for their keys, and shorter requests leave an overloaded target before that pays.
-	minHotServiceTime = 220 * time.Millisecond
 	// hotConfirmation is the time from the detection of a hot span to its split. At the detection, about a fifth of the
 	// hosts have reported its load, and a split by a load that is far too low has to be repeated.
 	hotConfirmation = 150 * time.Millisecond
--- a/lessor/pace.go
+++ b/lessor/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyline.example/bramleyline/classifier"
 	"bramleyline.example/bramleyline/estimator"
 	"bramleyline.example/bramleyline/ramper"
 	"bramleyline.example/bramleyline/registrar"
@@ -40,7 +41,7 @@
 // pacesApply reports whether the targets of a service are paced.
 func (l *Lessor) pacesApply(service string) bool {
 	e := l.view.Estimators[service]
-	return e != nil && e.MeanServiceTime() >= ramper.MinServiceTime
+	return e != nil && e.MeanServiceTime() >= classifier.MinServiceTime
 }
 
 // pace returns the factor on the capacity of a target, and whether the target is to be filled up to it.
--- a/lessor/share.go
+++ b/lessor/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleyline.example/bramleyline/apportioner"
+	"bramleyline.example/bramleyline/classifier"
 	"bramleyline.example/bramleyline/estimator"
 	"bramleyline.example/bramleyline/planner"
 	"bramleyline.example/bramleyline/registrar"
@@ -136,10 +137,11 @@
 }
 
 // splitHotSpans starts moves that divide hot spans among many targets, and reports whether there are any hot spans to split. No
-// other moves should be planned then: they would carry single keys of these spans.
+// other moves should be planned then: they would carry single keys of these spans. Services with short requests are left out: the
+// moves delay requests, and a short overload passes sooner than that pays.
 func (l *Lessor) splitHotSpans(service string, ranges []registrar.Range) bool {
 	e := l.view.Estimators[service]
-	if e == nil || !e.Measured(l.now) || e.MeanServiceTime() < minHotServiceTime || l.now.Sub(l.elected) < hotWait ||
+	if e == nil || !e.Measured(l.now) || e.MeanServiceTime() < classifier.MinServiceTime || l.now.Sub(l.elected) < hotWait ||
 		l.now.Before(l.hotCheckedAt[service].Add(hotInterval)) {
 		return false
 	}
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -127,6 +127,18 @@
 	return least
 }
 
+// TightestTimeout returns the least timeout of the routes to a service, MaxTimeout if there is none.
+func (t *Table) TightestTimeout(service string) time.Duration {
+	least := MaxTimeout
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.Timeout > 0 && slices.ContainsFunc(r.Split, func(p Part) bool { return p.Service == service }) {
+			least = min(least, r.Timeout)
+		}
+	}
+	return least
+}
+
 // Match returns the route of host with the longest prefix that path has.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[hostName(host)] {
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -5,15 +5,25 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
-	// usableShare is the demand, as a multiple of the capacity, up to which requests are admitted. Targets queue what waves of
-	// some seconds bring; refusing from 0.85 or 1.15 on cost callers more than those queues.
-	usableShare = 1.6
+	// queueHorizon is the time over which demand may exceed the capacity before requests are refused, as far as they can wait
+	// for what queues up in it. A host knows the demand of the others a second late, and refused callers return within seconds,
+	// so a shorter excess is over before a refusal helps.
+	queueHorizon = 4 * time.Second
 	// minShareFactor is the least share of a priority, as a part of the share of all work together. A quarter of the
 	// requests is required; shares are of work, so there is a margin for routes with different service times.
 	minShareFactor = 0.3
+	// MinRetryAfter is the least delay before a refused caller should return, and the least age of one that has waited for it.
+	// maxRetryAfter bounds the delay before it is drawn.
+	MinRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// waitShare is the share of the time that a caller has left in which it waits to return.
+	waitShare = 1.0 / 3
+	// shortestRetryAfter is the shortest delay that the header can express.
+	shortestRetryAfter = 10 * time.Millisecond
 	// maxBorrowed is the number of returning callers that a route may admit ahead of its share.
 	maxBorrowed = 4
 	// rounding is the tolerance of the accumulators for sums of shares.
@@ -51,10 +61,11 @@
 	credits map[string]float64
 }
 
-// Update sets the capacity of the service, in slots of usual speed, and the demand of all hosts together. A capacity of
-// zero or less means that it is not known: then everything is admitted.
-func (p *Prioritizer) Update(capacity float64, demand []Demand) {
-	s, pressure := divide(usableShare*capacity, demand)
+// Update sets the capacity of the service, in slots of usual speed, the slack, which is how long its requests can wait and still
+// be answered, and the demand of all hosts together. A capacity of zero or less means that it is not known: then everything is
+// admitted.
+func (p *Prioritizer) Update(capacity float64, slack time.Duration, demand []Demand) {
+	s, pressure := divide(capacity*overbooking(slack), demand)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.shares, p.pressure = s, pressure
@@ -112,6 +123,24 @@
 	return admitted
 }
 
+// RetryAfter returns the time after which a refused caller should return that has the given time left. It grows with the
+// pressure, as an excess takes longer to end, and is drawn from one to two times that, so that callers do not return together;
+// draw is uniform in [0, 1).
+func (p *Prioritizer) RetryAfter(left time.Duration, draw float64) time.Duration {
+	pressure := p.Pressure()
+	delay := min(maxRetryAfter, time.Duration(max(1, pressure*pressure)*float64(MinRetryAfter)))
+	if left > 0 {
+		delay = min(delay, time.Duration(waitShare/2*float64(left)))
+	}
+	return time.Duration((1 + draw) * float64(max(delay, shortestRetryAfter)))
+}
+
+// overbooking returns the demand, as a multiple of the capacity, up to which everything is admitted: a greater one would, within
+// queueHorizon, queue up more than the requests can wait for.
+func overbooking(slack time.Duration) float64 {
+	return 1 + min(1, max(0, float64(slack)/float64(queueHorizon)))
+}
+
 // shares holds the admitted share of each priority.
 type shares struct {
 	// byPriority is sorted, the most urgent priority first. The shares fall.
--- a/ramper/ramper.go
+++ b/ramper/ramper.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// MinServiceTime is the least mean service time of a service whose targets are paced. Below it, an observation says
-	// little by the time that the next request is sent.
-	MinServiceTime = 220 * time.Millisecond
 	// MinPace is the least pace. It is above zero so that a target always gets requests by which it is measured.
 	MinPace = 0.1
 	// minStep is the least step.
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"time"
 
+	"bramleyline.example/bramleyline/classifier"
 	"bramleyline.example/bramleyline/ramper"
 	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/viewer"
@@ -98,7 +99,7 @@
 
 // applies reports whether targets are paced.
 func (p *poolPace) applies() bool {
-	return p.meanWork >= ramper.MinServiceTime
+	return p.meanWork >= classifier.MinServiceTime
 }
 
 // see records that t is in the view, and begins its ramp if it became warm, was first seen beside warm targets, or returned
