Weigh the time that requests can wait by their work

Change: each priority has its own slack, from the routes that send it requests; they are averaged by work.

--- a/forwarder/load.go
+++ b/forwarder/load.go
@@ -118,7 +118,10 @@
 		capacity += float64(c.Cold) * (svc.ColdRate*o.Limits.ColdFactor + o.Limits.ColdSlack) * l.class.Mean().Seconds()
 	}
 	demand, known := l.demand(now, v, svc.Name, o)
-	l.prioritizer.Update(capacity, v.Table.TightestTimeout(svc.Name)-l.class.Mean(), demand)
+	for i := range demand {
+		demand[i].Slack = v.Table.TightestTimeout(svc.Name, demand[i].Priority) - l.class.Mean()
+	}
+	l.prioritizer.Update(capacity, demand)
 	pressure := l.prioritizer.Pressure()
 	if pressure > 1 != l.overloaded && now.Sub(l.loggedAt) >= overloadLogInterval {
 		l.overloaded, l.loggedAt = pressure > 1, now
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -127,12 +127,14 @@
 	return least
 }
 
-// TightestTimeout returns the least timeout of the routes to a service, MaxTimeout if there is none.
-func (t *Table) TightestTimeout(service string) time.Duration {
+// TightestTimeout returns the least timeout of the routes with a priority that send requests to a service, MaxTimeout if there is
+// none.
+func (t *Table) TightestTimeout(service string, priority int) time.Duration {
 	least := MaxTimeout
+	sends := func(p Part) bool { return p.Service == service && p.Weight > 0 }
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		if r.Timeout > 0 && slices.ContainsFunc(r.Split, func(p Part) bool { return p.Service == service }) {
+		if r.Timeout > 0 && r.Priority == priority && slices.ContainsFunc(r.Split, sends) {
 			least = min(least, r.Timeout)
 		}
 	}
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -57,6 +57,19 @@
 	c.Check(table(slow).TightestObjective("unknown"), qt.Equals, time.Duration(0))
 }
 
+// Guards against the timeout of a route with another priority, or of one that sends nothing to the service.
+func TestTightestTimeout(t *testing.T) {
+	c := qt.New(t)
+	slow, fast := route("slow", "a", "/s/"), route("fast", "a", "/f/")
+	urgent, idle := route("urgent", "a", "/u/"), route("idle", "a", "/i/")
+	slow.Timeout, urgent.Timeout, idle.Timeout = 2*time.Second, time.Millisecond, time.Millisecond
+	slow.Priority, fast.Priority, idle.Priority = 1, 1, 1
+	idle.Split[0].Weight = 0
+	tb := table(slow, fast, urgent, idle)
+	c.Check(tb.TightestTimeout(slow.Split[0].Service, 1), qt.Equals, time.Second)
+	c.Check(tb.TightestTimeout(slow.Split[0].Service, 2), qt.Equals, MaxTimeout)
+}
+
 // Guards against an invalid table being put in force: all errors are reported together, each with its route.
 func TestCheckFindsEveryFault(t *testing.T) {
 	c := qt.New(t)
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -36,6 +36,8 @@
 	Priority int
 	// Work is the number of slots of usual speed that the work keeps busy: arrivals per second x expected service time.
 	Work float64
+	// Slack is how long the requests can wait and still be answered.
+	Slack time.Duration
 }
 
 // Request is an arrival.
@@ -61,11 +63,10 @@
 	credits map[string]float64
 }
 
-// Update sets the capacity of the service, in slots of usual speed, the slack, which is how long its requests can wait and still
-// be answered, and the demand of all hosts together. A capacity of zero or less means that it is not known: then everything is
-// admitted.
-func (p *Prioritizer) Update(capacity float64, slack time.Duration, demand []Demand) {
-	s, pressure := divide(capacity*overbooking(slack), demand)
+// Update sets the capacity of the service, in slots of usual speed, and the demand of all hosts together. A capacity of zero or
+// less means that it is not known: then everything is admitted.
+func (p *Prioritizer) Update(capacity float64, demand []Demand) {
+	s, pressure := divide(capacity*overbooking(demand), demand)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.shares, p.pressure = s, pressure
@@ -136,9 +137,18 @@
 }
 
 // overbooking returns the demand, as a multiple of the capacity, up to which everything is admitted: a greater one would, within
-// queueHorizon, queue up more than the requests can wait for.
-func overbooking(slack time.Duration) float64 {
-	return 1 + min(1, max(0, float64(slack)/float64(queueHorizon)))
+// queueHorizon, queue up more than the requests can wait for. Their slack is averaged by work, so that a few requests that cannot
+// wait do not cause the refusal of many that can.
+func overbooking(demand []Demand) float64 {
+	work, slack := 0.0, 0.0
+	for _, d := range demand {
+		work += max(0, d.Work)
+		slack += max(0, d.Work) * max(0, d.Slack.Seconds())
+	}
+	if work == 0 {
+		return 1
+	}
+	return 1 + min(1, slack/work/queueHorizon.Seconds())
 }
 
 // shares holds the admitted share of each priority.
--- a/prioritizer/prioritizer_test.go
+++ b/prioritizer/prioritizer_test.go
@@ -33,7 +33,7 @@
 	} {
 		c := qt.New(t)
 		var p Prioritizer
-		p.Update(capacity, 0, tc.demand)
+		p.Update(capacity, tc.demand)
 		c.Check(math.Abs(p.Share(0)-tc.first) < 1e-9, qt.IsTrue, qt.Commentf("%s: %v", name, p.Share(0)))
 		c.Check(math.Abs(p.Share(1)-tc.second) < 1e-9, qt.IsTrue, qt.Commentf("%s: %v", name, p.Share(1)))
 	}
@@ -53,7 +53,7 @@
 				Work:     200 * random.Float64(),
 			})
 		}
-		p.Update(capacity, 0, demand)
+		p.Update(capacity, demand)
 		for _, d := range demand {
 			total += d.Work
 			admitted += d.Work * p.Share(d.Priority)
@@ -75,7 +75,7 @@
 	for _, share := range []float64{0.13, 0.37, 0.5, 0.7, 0.99} {
 		c := qt.New(t)
 		var p Prioritizer
-		p.Update(capacity, 0, two(85/share, 1e-9))
+		p.Update(capacity, two(85/share, 1e-9))
 		admitted := make(map[string]int)
 		const requests = 100
 		for range requests {
@@ -95,7 +95,7 @@
 func TestReturningCallersComeFirst(t *testing.T) {
 	c := qt.New(t)
 	var p Prioritizer
-	p.Update(capacity, 0, two(170, 1e-9))
+	p.Update(capacity, two(170, 1e-9))
 	returning, fresh := 0, 0
 	for i := range 200 {
 		back := i%4 == 0
@@ -137,7 +137,7 @@
 		lowest := 1.0
 		for now.Sub(start) < 30*time.Minute {
 			a.Record(now, random.IntN(2), work)
-			p.Update(capacity, 0, a.Demand(now, hosts))
+			p.Update(capacity, a.Demand(now, hosts))
 			if now.Sub(start) < 3*time.Second {
 				c.Assert(p.Share(1), qt.Equals, 1.0)
 			}
@@ -148,23 +148,41 @@
 	}
 }
 
-// Guards against a wave that is refused although targets can queue it, and against a queue that is longer than requests can wait.
+// Guards against a wave that is refused although targets can queue it, against a queue that is longer than requests can wait, and
+// against the refusal of many requests that can wait because of a few that cannot.
 func TestRequestsThatCanWaitAreAdmittedBeyondTheCapacity(t *testing.T) {
-	for _, tc := range []struct {
-		slack  time.Duration
-		usable float64
+	for name, tc := range map[string]struct {
+		urgent, other time.Duration
+		urgentWork    float64
+		usable        float64
 	}{
-		{slack: -time.Second, usable: 100},
-		{slack: 0, usable: 100},
-		{slack: queueHorizon / 2, usable: 150},
-		{slack: time.Hour, usable: 200},
+		"overdue":        {urgent: -time.Second, other: -time.Second, urgentWork: 50, usable: 100},
+		"no slack":       {urgentWork: 50, usable: 100},
+		"some":           {urgent: queueHorizon / 2, other: queueHorizon / 2, urgentWork: 50, usable: 150},
+		"unlimited":      {urgent: time.Hour, other: time.Hour, urgentWork: 50, usable: 200},
+		"few cannot":     {other: queueHorizon, urgentWork: 1, usable: 199},
+		"most cannot":    {urgent: 0, other: queueHorizon / 100, urgentWork: 99, usable: 100},
+		"half of each":   {other: queueHorizon, urgentWork: 75, usable: 150},
+		"only a few can": {urgent: queueHorizon / 10, other: queueHorizon / 10, urgentWork: 10, usable: 110},
 	} {
 		c := qt.New(t)
-		var p Prioritizer
-		p.Update(100, tc.slack, two(tc.usable/2, tc.usable/2-1))
-		c.Check(p.Contended(), qt.IsFalse, qt.Commentf("%+v", tc))
-		p.Update(100, tc.slack, two(tc.usable/2, tc.usable/2+1))
-		c.Check(p.Contended(), qt.IsTrue, qt.Commentf("%+v", tc))
+		contended := func(work float64) bool {
+			var p Prioritizer
+			p.Update(100, []Demand{
+				{
+					Work:  tc.urgentWork,
+					Slack: tc.urgent,
+				},
+				{
+					Priority: 1,
+					Work:     work - tc.urgentWork,
+					Slack:    tc.other,
+				},
+			})
+			return p.Contended()
+		}
+		c.Check(contended(tc.usable-1), qt.IsFalse, qt.Commentf("%s", name))
+		c.Check(contended(tc.usable+1), qt.IsTrue, qt.Commentf("%s", name))
 	}
 }
 
@@ -185,7 +203,7 @@
 	} {
 		c := qt.New(t)
 		var p Prioritizer
-		p.Update(100, 0, two(50*tc.pressure, 50*tc.pressure))
+		p.Update(100, two(50*tc.pressure, 50*tc.pressure))
 		c.Check(p.RetryAfter(tc.left, tc.draw), qt.Equals, tc.wantDelay, qt.Commentf("%+v", tc))
 	}
 }
