--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -327,40 +326,6 @@
 	}
 }
 
-func (s *Coordinator) logPace(p lessor.PaceMsg) {
-	switch {
-	case p.Began != "":
-		counters.Add("startedRamps", 1)
-		s.opts.Log.Info("target in ramp", "target", p.Target.ID, "cause", p.Began, "pace", p.Pace, "step", p.Step)
-	case p.Setback != "":
-		counters.Add("loweredPaces", 1)
-		s.opts.Log.Info("pace of target lowered", "target", p.Target.ID, "reason", p.Setback, "pace", p.Pace, "step", p.Step)
-	default:
-		counters.Add("endedRamps", 1)
-		s.opts.Log.Info("target established", "target", p.Target.ID)
-	}
-}
-
-// reportPlans counts and logs planned moves.
-func (s *Coordinator) reportPlans(plans []lessor.PlanMsg) {
-	for _, m := range plans {
-		counters.Add("moves", int64(m.Moves))
-		counters.Add("shareMoves", int64(m.Share))
-		if m.Share > 0 {
-			s.opts.Log.Info("moves of keys for shares", "service", m.Service, "moves", m.Share)
-		}
-		if m.Hot == 0 {
-			continue
-		}
-		counters.Add("hotSpans", int64(len(m.HotSpans)))
-		counters.Add("hotMoves", int64(m.Hot))
-		for _, h := range m.HotSpans {
-			s.opts.Log.Info("hot span", "service", m.Service, "from", h.From, "to", h.To)
-		}
-		s.opts.Log.Info("hot spans are split", "service", m.Service, "spans", len(m.HotSpans), "load", m.HotLoad, "moves", m.Hot)
-	}
-}
-
 // followLeadership begins and ends what is kept for one term of leadership, and reports whether this host leads. While its
 // lease has lapsed and no other host was elected, it keeps everything and does nothing: grants are renewed without an entry
 // in the log, so a new Lessor would not know until when they last.
@@ -388,40 +353,6 @@
 	return true
 }
 
-// updateLimits starts the commit of the limits that targets stated and that reg lacks.
-func (s *Coordinator) updateLimits(now time.Time, reg registrar.Registry) {
-	if now.Sub(s.limitsAt) < limitInterval || s.limitsPending.Load() {
-		return
-	}
-	changes := s.issuer.Changes(now, reg)
-	if len(changes) == 0 {
-		return
-	}
-	s.limitsAt = now
-	s.limitsPending.Store(true)
-	go s.proposeLimits(changes)
-}
-
-func (s *Coordinator) proposeLimits(changes []registrar.StatedLimit) {
-	defer s.limitsPending.Store(false)
-	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
-	defer cancel()
-	_, err := s.opts.Controller.Propose(ctx, applier.Command{
-		Registry: &registrar.Change{
-			Limit: &registrar.LimitMsg{
-				Limits: changes,
-			},
-		},
-	})
-	for _, c := range changes {
-		limit := "none"
-		if c.Limit != nil {
-			limit = strconv.FormatFloat(*c.Limit, 'g', -1, 64)
-		}
-		s.opts.Log.Info("limit of target for all hosts", "target", c.Incarnation.ID, "limit", limit, "err", err)
-	}
-}
-
 // updateTable sets s.table to the traffic table in force, and reports whether there is one.
 func (s *Coordinator) updateTable(st *applier.State) bool {
 	var err error
