Refuse answers without a length after a request that was cut

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer. An early rejection without a length reached the caller as 503 in the same way, although its request may have run.

Cause: the kernel reports a reset once. The write of the request took that report, sender went on to read, and the read saw an ordinary end of the stream, which is what ends an answer without a length. A trace with sockets alone shows it: write: connection reset by peer; read: 23 bytes; read: EOF.

Change: an attempt remembers that its write was cut. An answer whose header does not determine its end is a fault then: reason cut, 502, the request may have run. Whole early answers reach the caller as before. The connection of a cut request is not returned to the pool.

Why it works: a write can only fail with a reset or a broken pipe after the peer has ended the connection without having read the request, so that the end of the stream is not the end of an answer. No read takes part in the decision.

--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -48,6 +48,11 @@
 }
 
 func newFixture(c *qt.C) *fixture {
+	return newFixtureWithTimeout(c, time.Second)
+}
+
+// newFixtureWithTimeout returns a fixture whose routes have a timeout.
+func newFixtureWithTimeout(c *qt.C, timeout time.Duration) *fixture {
 	b := fixture{
 		c:       c,
 		changed: make(chan struct{}),
@@ -67,7 +72,7 @@
 			Host:        "shop.example",
 			Prefix:      "/lookup/",
 			Repeatable:  true,
-			Timeout:     time.Second,
+			Timeout:     timeout,
 			Objective:   500 * time.Millisecond,
 			MaxAttempts: 2,
 			Split:       split("desk"),
@@ -76,7 +81,7 @@
 			Name:        "order",
 			Host:        "shop.example",
 			Prefix:      "/order/",
-			Timeout:     time.Second,
+			Timeout:     timeout,
 			Objective:   500 * time.Millisecond,
 			MaxAttempts: 2,
 			Split:       split("desk"),
@@ -85,7 +90,7 @@
 			Name:      "tally",
 			Host:      "shop.example",
 			Prefix:    "/tally/",
-			Timeout:   time.Second,
+			Timeout:   timeout,
 			Objective: 500 * time.Millisecond,
 			Split:     split("tally"),
 		},
@@ -228,6 +233,21 @@
 	})
 }
 
+// sendBody sends a request with a body.
+func (b *fixture) sendBody(method, path string, body []byte) *acceptor.Answer {
+	return b.f.Handle(context.Background(), &acceptor.Request{
+		Method: method,
+		URI:    path,
+		Path:   path,
+		Host:   "shop.example",
+		Header: http.Header{
+			testRequest: {"r1"},
+		},
+		Body:    [][]byte{body},
+		Arrived: time.Now(),
+	})
+}
+
 // answerWith returns a handler that counts requests in n and answers with text.
 func answerWith(n *atomic.Int32, text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -35,6 +35,8 @@
 	first int
 	// waited is the time that the body has waited for the link.
 	waited time.Duration
+	// cut is the error of a write after which the peer had closed or reset the connection, nil if the request was written whole.
+	cut error
 }
 
 // run writes the request and reads the answer up to the end of its header.
@@ -82,6 +84,7 @@
 		if !severed(err) {
 			return nil, a.fault(err, "request was written in part")
 		}
+		a.cut = err
 	}
 	a.flow.End()
 	return a.receive()
@@ -120,12 +123,18 @@
 	}
 	// An answer without a length ends with its connection, and is complete only if the connection was not reset. Not
 	// every target closes its connections so that the two cases differ.
-	if resp.StatusCode == http.StatusSwitchingProtocols || !r.Undelimited && !delimited(resp, r.Method) {
+	hasEnd := delimited(resp, r.Method)
+	if resp.StatusCode == http.StatusSwitchingProtocols || !r.Undelimited && !hasEnd {
 		c.pool.memory.Release(reserved)
 		f := a.fault(errors.New("answer has no length"), "malformed answer")
 		f.Reason = ReasonMalformed
 		return nil, f
 	}
+	// The kernel reports a reset once. The write has taken that report, and reads see an ordinary end of the stream.
+	if a.cut != nil && !hasEnd {
+		c.pool.memory.Release(reserved)
+		return nil, a.fault(a.cut, "request was written in part, answer has no length")
+	}
 	length := resp.ContentLength
 	if bodiless(resp, r.Method) {
 		// Content-Length tells the size of the body that another request would get.
@@ -136,7 +145,7 @@
 		Header:   resp.Header,
 		Length:   length,
 		body:     resp.Body,
-		reusable: !resp.Close,
+		reusable: !resp.Close && a.cut == nil,
 		Echoed:   echo == r.Identity,
 		attempt:  a,
 		memory:   &c.pool.memory,
