Close connections whose target has not received the whole request

Callers saw: 502 for a request whose connection had carried a long upload that the target answered early, when the target then reset the connection.

Cause: sender returned a connection to its pool as soon as the answer was read. If the upload still waited in the send queue of the kernel, the next request was written behind it, and was cut by the reset.

Evidence: TestConnectionOfAnUnreadRequestIsNotUsedAgain failed before: the second of three uploads of 512 KiB got 502 in place of the target's 413, on the connection of the first.

Change: after a request with a long body a connection is used again only if the target has acknowledged all of it (SIOCOUTQ) and no reset is pending (SO_ERROR).

Why it works: the answer of a target that has read the request also acknowledges it, so that the queue is empty then.

Result: the test passes, with those of sender and forwarder.

--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -206,6 +206,11 @@
 		reuse = false
 	}
 	c := a.conn
+	if reuse && a.req.bodySize() > maxInlineBody {
+		// The target may answer early and then reset the connection, which would cut the next request.
+		n, err := c.unacknowledged()
+		reuse = n == 0 && err == nil
+	}
 	if !reuse || c.br.Buffered() > 0 {
 		_ = c.Close()
 		c.pool.release(nil)
--- a/sender/early_test.go
+++ b/sender/early_test.go
@@ -284,3 +284,22 @@
 		})
 	}
 }
+
+// Guards against a request on a connection whose target answered the one before without having read it, and then resets the
+// connection. The first one fits into the send buffer of the kernel, but not into the receive buffer of the target.
+func TestConnectionOfAnUnreadRequestIsNotUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	p := startResponder(c, &responder.Responder{
+		Answer: answerText("HTTP/1.1 413 Content Too Large\r\n" + echoLine + "Content-Length: 4\r\n\r\nlong"),
+		Pause:  200 * time.Millisecond,
+	})
+	s := New(nil)
+	c.Cleanup(s.Close)
+	for range 3 {
+		r := rawRequest(p.Addr())
+		r.Method, r.Body = http.MethodPost, [][]byte{make([]byte, 512<<10)}
+		resp, body, f := attemptOnce(s, r)
+		c.Check(describeOutcome(resp, body, f), qt.Equals, `status 413, body "long"`)
+	}
+	c.Check(p.Connections(), qt.Equals, int64(3))
+}
