Take an answer without a length as complete only once its request has arrived

Callers saw: a part of an answer as a complete one, if the target ended its stream while the request was still on its way, and reset the connection then.

Cause: once the end of the stream has arrived, reads report it and not the reset that follows. The request was written whole into the buffer of the kernel, so that no write failed either.

Evidence: TestEarlyAnswers/buffered, with a request of 512 KiB, got a 200 with a part of the body before; its other cases passed.

Change: at the end of the stream, sender waits until the target has acknowledged the whole request, at most until the deadline. A reset before that is a fault: reason cut, 502, the request may have run.

Why it works: a target that has read the whole request acknowledges it with the end of its stream, and is not waited for. One that reads on is waited for, and its answer still reaches the caller ("stream ended, request read to its end").

Result: the tests of sender and forwarder pass, five more runs of TestEarlyAnswers as well.

--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -146,6 +146,7 @@
 		Length:   length,
 		body:     resp.Body,
 		reusable: !resp.Close && a.cut == nil,
+		hasEnd:   hasEnd,
 		Echoed:   echo == r.Identity,
 		attempt:  a,
 		memory:   &c.pool.memory,
@@ -278,6 +279,8 @@
 	body io.ReadCloser
 	// reusable is true if the target keeps the connection open after the answer.
 	reusable bool
+	// hasEnd is true if the header determines the end of the body, which is that of the connection otherwise.
+	hasEnd bool
 	// whole is true once the body was read to its end.
 	whole   bool
 	fault   *Fault
@@ -303,6 +306,11 @@
 		return 0, r.fault
 	}
 	n, err := r.body.Read(b)
+	if err == io.EOF && !r.hasEnd {
+		if ackErr := r.attempt.awaitAck(); ackErr != nil {
+			return n, r.fail(r.attempt.fault(ackErr, "answer has no length, and the request did not arrive whole"))
+		}
+	}
 	if err == io.EOF {
 		r.whole = true
 		return n, err
--- a/sender/early_test.go
+++ b/sender/early_test.go
@@ -230,6 +230,11 @@
 			size: 16 << 20,
 			tls:  true,
 		},
+		{
+			// The request fits into the send buffer of the kernel, but not into the receive buffer of the peer.
+			name: "buffered",
+			size: 512 << 10,
+		},
 	} {
 		t.Run(way.name, func(t *testing.T) {
 			c := qt.New(t)
