Refuse answers without a length whose TLS connection was truncated

Callers would see: the part of an answer as a complete one, if the TLS connection to the target ended without a closure alert. No part of the system asks for such answers over TLS today: hosts answer each other with a length, and targets are reached over plain TCP. sender allows the combination.

Cause: crypto/tls reports the end of the stream at the boundary of a record like a closure alert.

Evidence: TestTruncatedTLSAnswers failed before, in both cases without a length. Answers with a length or chunks were right before, with and without an alert.

Change: the connection below TLS records the end of its stream. An answer without a length is a fault then: reason cut, 502, the request may have run (RFC 9112, section 9.8).

Why it works: an alert is a record, and is read before the end of the stream is.

--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -159,6 +159,14 @@
 	}, nil
 }
 
+// checkEnd returns an error if the end of the connection may not be that of an answer without a length.
+func (a *attempt) checkEnd() error {
+	if a.conn.truncated() {
+		return errors.WithMessage(io.ErrUnexpectedEOF, "TLS connection ended without a closure alert")
+	}
+	return errors.WithMessage(a.awaitAck(), "request did not arrive whole")
+}
+
 // validStatus reports whether status has one of the classes 1xx to 5xx. http.ReadResponse accepts any three digits.
 func validStatus(status int) bool {
 	return status >= 100 && status <= 599
@@ -307,8 +315,8 @@
 	}
 	n, err := r.body.Read(b)
 	if err == io.EOF && !r.hasEnd {
-		if ackErr := r.attempt.awaitAck(); ackErr != nil {
-			return n, r.fail(r.attempt.fault(ackErr, "answer has no length, and the request did not arrive whole"))
+		if endErr := r.attempt.checkEnd(); endErr != nil {
+			return n, r.fail(r.attempt.fault(endErr, "answer has no length, and may be cut"))
 		}
 	}
 	if err == io.EOF {
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -37,7 +37,9 @@
 	pool   *pool
 	// raw is the socket of the connection, for alive; nil if there is none.
 	raw syscall.RawConn
-	br  *bufio.Reader
+	// below is the connection that TLS uses, nil without TLS.
+	below *eofRecorder
+	br    *bufio.Reader
 	// buf is the buffer for the header of a request, kept for the next one.
 	buf []byte
 	// headerRemaining is how many more bytes may be read. Outside of a header it starts at math.MaxInt64, that is,
@@ -185,6 +187,25 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// eofRecorder is a connection that records the end of its stream. crypto/tls reports it like a closure alert.
+type eofRecorder struct {
+	net.Conn
+	ended bool
+}
+
+func (r *eofRecorder) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if err == io.EOF {
+		r.ended = true
+	}
+	return n, err
+}
+
+// truncated reports whether the stream of a TLS connection ended without a closure alert.
+func (c *conn) truncated() bool {
+	return c.below != nil && c.below.ended
+}
+
 // severed reports whether err means that the peer closed or reset the connection.
 func severed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -157,12 +157,17 @@
 	if config == nil {
 		return newConn(c, c, p), nil
 	}
-	secure := tls.Client(c, config)
+	below := &eofRecorder{
+		Conn: c,
+	}
+	secure := tls.Client(below, config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
-	return newConn(secure, c, p), nil
+	cn := newConn(secure, c, p)
+	cn.below = below
+	return cn, nil
 }
 
 // release returns a token. c is kept for another request; it is nil if the connection was closed.
