Refuse answers whose field names are not tokens

Callers saw: an answer of a target in trouble with that field, or with a body that was not the target's: behind "Content-Length : 4" the body ran on to the end of the connection, behind "Transfer-Encoding : chunked" it held the chunks' sizes. A rejection with such a field reached callers as 503.

Cause: http.ReadResponse accepts blanks in field names, and keeps such a field under its name with the blank. Nothing checked the names after it, so that neither the framing nor the removal of fields of one connection knew them, and they were written to the caller.

Change: the new package validator checks names by httpguts of golang.org/x/net. sender applies it to each header that it reads, informational ones included, and to trailers. Such an answer is malformed: the connection is closed, the target counts as failing, the caller gets 502, and a request that may not be repeated is not sent again. RFC 9112, section 5.1, asks a proxy to remove a blank before the colon from what it forwards; nothing of such an answer is forwarded.

Why it works: all answers to callers' requests, of targets and hosts, and those to grants and releases are read by sender.

--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -118,6 +118,41 @@
 		answer:    answerTo("HTTP/1.1 200 OK", "\r\nwhole"),
 		readAfter: -1,
 	},
+	{
+		name:       "blank in a field name",
+		answer:     answerTo("HTTP/1.1 200 OK", "X Y: 1\r\nContent-Length: 5\r\n\r\nwhole"),
+		readBefore: -1,
+	},
+	{
+		name:       "blank after the name of the length",
+		answer:     answerTo("HTTP/1.1 200 OK", "Content-Length : 5\r\n\r\nwhole and more"),
+		readBefore: -1,
+	},
+	{
+		name:       "blank after the name of the coding",
+		answer:     answerTo("HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+		readBefore: -1,
+	},
+	{
+		name:       "control byte in a field name",
+		answer:     answerTo("HTTP/1.1 200 OK", "X\x01Y: 1\r\nContent-Length: 5\r\n\r\nwhole"),
+		readBefore: -1,
+	},
+	{
+		name:       "blank in a field name of an informational answer",
+		answer:     answerTo("HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK", "Content-Length: 5\r\n\r\nwhole"),
+		readBefore: -1,
+	},
+	{
+		name:       "blank in a field name of a trailer",
+		answer:     answerTo("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Y: 1\r\n\r\n"),
+		readBefore: -1,
+	},
+	{
+		name:       "rejection with a blank in a field name",
+		answer:     answerTo("HTTP/1.1 503 Full", testOutcome+": notRun\r\n"+testBusy+": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"),
+		readBefore: -1,
+	},
 }
 
 // Guards against answers of targets that break off or break HTTP and reach callers as answers, or as refusals, and against second
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -75,13 +75,17 @@
 	}
 }
 
-func (g *group) relayer() *Relayer {
+func newSender(c *qt.C) *sender.Sender {
 	s := sender.New(nil)
-	g.c.Cleanup(s.Close)
+	c.Cleanup(s.Close)
+	return s
+}
+
+func (g *group) relayer() *Relayer {
 	r := New(Options{
 		Hosts:      func() []Host { return append([]Host(nil), g.hosts...) },
 		DataCentre: "a",
-		Sender:     s,
+		Sender:     newSender(g.c),
 		Signer:     signer.New("key"),
 	})
 	g.c.Cleanup(r.Close)
--- /dev/null
+++ b/router/early_test.go
@@ -0,0 +1,74 @@
+package router
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleyline.example/bramleyline/responder"
+)
+
+// Guards against the part of an answer that is delivered as a whole one, if the target answers a long request at once and resets
+// the connection while the request is still being written. Checks the dispatching host and the forwarding host.
+func TestEarlyAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		text   string
+		reset  bool
+		status int
+		body   string
+	}{
+		{
+			name:   "no length, reset",
+			text:   "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\n\r\nhalf",
+			reset:  true,
+			status: http.StatusBadGateway,
+		},
+		{
+			name:   "no length, closed",
+			text:   "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\n\r\nhalf",
+			status: http.StatusBadGateway,
+		},
+		{
+			name:   "length too long, reset",
+			text:   "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nContent-Length: 9\r\n\r\nhalf",
+			reset:  true,
+			status: http.StatusBadGateway,
+		},
+		{
+			name:   "whole",
+			text:   "HTTP/1.1 413 Content Too Large\r\nBramleyline-Request: %s\r\nContent-Length: 4\r\n\r\nlong",
+			status: http.StatusRequestEntityTooLarge,
+			body:   "long",
+		},
+	} {
+		for host, path := range []string{"local", "forwarded"} {
+			t.Run(tt.name+"/"+path, func(t *testing.T) {
+				c := qt.New(t)
+				p := responder.Responder{
+					Answer: func(r *http.Request) string {
+						return strings.Replace(tt.text, "%s", r.Header.Get("Bramleyline-Request"), 1)
+					},
+					Pause: 10 * time.Millisecond,
+					Reset: tt.reset,
+				}
+				c.Assert(p.Start(), qt.IsNil)
+				c.Cleanup(func() { c.Check(p.Close(), qt.IsNil) })
+				s := newTestSystemWithTarget(t, p.Addr(), 10*time.Second)
+				s.cfg.Services[0].Limits.MaxBody = 16 << 20
+				a := s.call(host, http.MethodPost, "/tally", strings.Repeat("x", 8<<20))
+				c.Assert(a.err, qt.IsNil)
+				c.Check(a.status, qt.Equals, tt.status)
+				if tt.status == http.StatusBadGateway {
+					c.Check(a.outcome, qt.Equals, "unknown")
+				} else {
+					c.Check(a.body, qt.Equals, tt.body)
+				}
+				c.Check(p.Requests(), qt.Equals, int64(1))
+			})
+		}
+	}
+}
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -148,6 +148,27 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 000 Bad\r\nContent-Length: 0\r\n\r\n")
 			return writeAnswer(c, r.Header.Get("Bramleyline-Request"), "not an answer any more")
 		}},
+		{"blank in a field name", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Bramleyline-Request"))
+			return true
+		}},
+		{"blank after the name of the coding", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nTransfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n", r.Header.Get("Bramleyline-Request"))
+			return true
+		}},
+		{"control byte in a field name", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nX\x01Y: 1\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Bramleyline-Request"))
+			return true
+		}},
+		{"blank in a field name of an informational answer", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n")
+			return writeAnswer(c, r.Header.Get("Bramleyline-Request"), "ok")
+		}},
+		{"blank in a field name of a trailer", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"+
+				"2\r\n{}\r\n0\r\nX Y: 1\r\n\r\n", r.Header.Get("Bramleyline-Request"))
+			return true
+		}},
 		{"never answers", 504, "deadline", 1, func(c net.Conn, _ int, _ *http.Request, _ string) bool {
 			_, _ = io.Copy(io.Discard, c)
 			return false
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -12,6 +12,7 @@
 
 	"bramleyline.example/bramleyline/reserver"
 	"bramleyline.example/bramleyline/shaper"
+	"bramleyline.example/bramleyline/validator"
 )
 
 // maxInlineBody is the size, in bytes, of the largest body that is appended to the header and written in the same call.
@@ -103,8 +104,8 @@
 		if err != nil {
 			return nil, a.fault(err, "no answer")
 		}
-		if !validStatus(resp.StatusCode) {
-			return nil, a.fault(errors.Errorf("status %03d is not valid", resp.StatusCode), "malformed answer")
+		if err := checkHeader(resp); err != nil {
+			return nil, a.fault(err, "malformed answer")
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			break
@@ -145,6 +146,7 @@
 		Header:   resp.Header,
 		Length:   length,
 		body:     resp.Body,
+		parsed:   resp,
 		reusable: !resp.Close && a.cut == nil,
 		hasEnd:   hasEnd,
 		Echoed:   echo == r.Identity,
@@ -167,6 +169,14 @@
 	return errors.WithMessage(a.awaitAck(), "request did not arrive whole")
 }
 
+// checkHeader returns an error if the header of an answer is not valid, or if other readers may take it for another one.
+func checkHeader(resp *http.Response) error {
+	if !validStatus(resp.StatusCode) {
+		return errors.Errorf("status %03d is not valid", resp.StatusCode)
+	}
+	return validator.FieldNames(resp.Header)
+}
+
 // validStatus reports whether status has one of the classes 1xx to 5xx. http.ReadResponse accepts any three digits.
 func validStatus(status int) bool {
 	return status >= 100 && status <= 599
@@ -285,6 +295,8 @@
 	Echoed bool
 
 	body io.ReadCloser
+	// parsed holds the trailer once the body was read to its end.
+	parsed *http.Response
 	// reusable is true if the target keeps the connection open after the answer.
 	reusable bool
 	// hasEnd is true if the header determines the end of the body, which is that of the connection otherwise.
@@ -320,6 +332,9 @@
 		}
 	}
 	if err == io.EOF {
+		if trailerErr := validator.FieldNames(r.parsed.Trailer); trailerErr != nil {
+			return n, r.fail(r.attempt.fault(trailerErr, "malformed trailer"))
+		}
 		r.whole = true
 		return n, err
 	}
