Refuse answers with line folds

Callers saw: the field of a target in trouble whose name began with a blank, as a part of the value of the field before. If it was the one that frames the body, the body was not the target's.

Cause: such a line is a fold, which net/http replaces by a blank. Nothing tells a fold from a name that begins with a blank.

Change: RFC 9112, section 5.2, lets a gateway replace a fold by a blank or answer 502. sender refuses: it looks at the first byte of each line of a header while it reads it, informational answers included. Folds in trailers are read as before, since trailers are not passed on. An answer is malformed then, as with other broken fields.

--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -160,6 +160,10 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nX\x01Y: 1\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Bramleyline-Request"))
 			return true
 		}},
+		{"blank before a field name", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBramleyline-Request: %s\r\nX: 1\r\n Y: 1\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Bramleyline-Request"))
+			return true
+		}},
 		{"blank in a field name of an informational answer", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n")
 			return writeAnswer(c, r.Header.Get("Bramleyline-Request"), "ok")
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -104,7 +104,7 @@
 		if err != nil {
 			return nil, a.fault(err, "no answer")
 		}
-		if err := checkHeader(resp); err != nil {
+		if err := checkHeader(resp, c); err != nil {
 			return nil, a.fault(err, "malformed answer")
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
@@ -169,10 +169,17 @@
 	return errors.WithMessage(a.awaitAck(), "request did not arrive whole")
 }
 
+// errFold refuses answers with line folds rather than to replace these by blanks, as RFC 9112, section 5.2, also allows: a field
+// whose name begins with a blank looks the same, and would be passed on as a part of the field before.
+var errFold = errors.New("line of the header begins with a blank")
+
 // checkHeader returns an error if the header of an answer is not valid, or if other readers may take it for another one.
-func checkHeader(resp *http.Response) error {
-	if !validStatus(resp.StatusCode) {
+func checkHeader(resp *http.Response, c *conn) error {
+	switch {
+	case !validStatus(resp.StatusCode):
 		return errors.Errorf("status %03d is not valid", resp.StatusCode)
+	case c.folds.found:
+		return errFold
 	}
 	return validator.FieldNames(resp.Header)
 }
--- a/sender/fields_test.go
+++ b/sender/fields_test.go
@@ -46,7 +46,8 @@
 }
 
 // Guards against answers whose field names are not tokens, and which reach callers with that field, or with a body that ends
-// elsewhere than for other readers.
+// elsewhere than for other readers. A
+// fold, which a name that begins with a blank resembles, is refused (RFC 9112, section 5.2).
 func TestFieldsOfAnswers(t *testing.T) {
 	c := qt.New(t)
 	const head = "HTTP/1.1 200 OK\r\n" + echoLine
