Refuse answers whose status line has another version or control bytes

Callers saw: an answer that claims another version of HTTP, which frames its messages otherwise, or whose reason holds control bytes, as an answer of the target.

Cause: http.ReadResponse accepts any version of two digits and any reason, and only the class of the status was checked.

Evidence: five new cases of TestAnswerWithInvalidStatusIsMalformed failed before: HTTP/2.0, HTTP/0.9, and control bytes in the reason. Status 000 was refused already, as its earlier cases show.

Change: validator.StatusLine checks the version, the class of the status, as sender did, and the reason.

Why it works: sender applies it to each status line that it reads, informational ones included. HTTP/1.0 and statuses without a reason are accepted as before.

Result: the tests of sender and router pass.

--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -175,20 +175,15 @@
 
 // checkHeader returns an error if the header of an answer is not valid, or if other readers may take it for another one.
 func checkHeader(resp *http.Response, c *conn) error {
-	switch {
-	case !validStatus(resp.StatusCode):
-		return errors.Errorf("status %03d is not valid", resp.StatusCode)
-	case c.folds.found:
+	if err := validator.StatusLine(resp); err != nil {
+		return err
+	}
+	if c.folds.found {
 		return errFold
 	}
 	return validator.FieldNames(resp.Header)
 }
 
-// validStatus reports whether status has one of the classes 1xx to 5xx. http.ReadResponse accepts any three digits.
-func validStatus(status int) bool {
-	return status >= 100 && status <= 599
-}
-
 // delimited reports whether the header of the answer determines where its body ends.
 func delimited(resp *http.Response, method string) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || bodiless(resp, method)
--- a/sender/status_test.go
+++ b/sender/status_test.go
@@ -11,8 +11,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against an answer with an invalid status, such as 000, that is passed on, or skipped so that the bytes after it are
-// taken for the answer.
+// Guards against an answer with an invalid status line, such as one with status 000, that is passed on, or skipped so that the
+// bytes after it are taken for the answer.
 func TestAnswerWithInvalidStatusIsMalformed(t *testing.T) {
 	const valid = "HTTP/1.1 200 OK\r\nBramleyline-Request: a-1\r\nContent-Length: 2\r\n\r\nok"
 	for name, status := range map[string]string{
@@ -24,6 +24,11 @@
 		"four digits":         "HTTP/1.1 1000 Bad",
 		"letters":             "HTTP/1.1 abc Bad",
 		"missing":             "HTTP/1.1",
+		"version 2":           "HTTP/2.0 200 OK",
+		"version 0.9":         "HTTP/0.9 200 OK",
+		"control byte":        "HTTP/1.1 200 O\x01K",
+		"carriage return":     "HTTP/1.1 200 O\rK",
+		"zero byte":           "HTTP/1.1 200 \x00",
 		"missing after space": "HTTP/1.1 ",
 		"switching protocols": "HTTP/1.1 101 Switching Protocols",
 		"endless continue":    strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxAnswerHeader/20) + "HTTP/1.1 100 Continue",
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -1,5 +1,5 @@
-// Package validator checks the fields of HTTP/1.1 messages more strictly than the parsers of net/http, which accept blanks in
-// field names.
+// Package validator checks HTTP/1.1 messages more strictly than the parsers of net/http, which accept any version, status and
+// reason, and blanks in field names.
 package validator
 
 import (
@@ -19,3 +19,17 @@
 	}
 	return nil
 }
+
+// StatusLine returns an error that quotes what is not valid in the status line of resp: a version other than HTTP/1, a status
+// without one of the classes 1xx to 5xx, or a reason with control bytes.
+func StatusLine(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return errors.Errorf("version %q is not HTTP/1", resp.Proto)
+	case resp.StatusCode < 100 || resp.StatusCode > 599:
+		return errors.Errorf("status %03d is not valid", resp.StatusCode)
+	case !httpguts.ValidHeaderFieldValue(resp.Status):
+		return errors.Errorf("reason in %q has control bytes", resp.Status)
+	}
+	return nil
+}
