Bound the text of faults that quote what a target sent

Operators saw: log lines, and callers of delegated dispatch error bodies, with as much of a broken header as the target had sent, up to 64 KiB.

Cause: the errors of the HTTP parser, and that for the answer to another request, quote whole lines.

The text was printable already, since the parser escapes what it quotes; the tests keep it so. The second test also shows that a target with broken answers is backed off, and that the log line of the request names the field or the state of the exchange.

The cause itself stays, for errors.Is.

--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -13,7 +13,9 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
 	"bramleyline.example/bramleyline/acceptor"
@@ -221,3 +223,64 @@
 	}
 	checkGolden(c, "brokenAnswers.golden", lines.String())
 }
+
+// Guards against a target that sends broken answers and goes on getting requests, and against a log line that does not say what
+// was wrong with the answer.
+func TestBrokenAnswerCountsAgainstItsTarget(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		answer func(*http.Request) string
+		reset  bool
+		log    []string
+	}{
+		{
+			name:   "blank in a field name",
+			answer: answerTo("HTTP/1.1 200 OK", "X Y: 1\r\nContent-Length: 0\r\n\r\n"),
+			log:    []string{"outcome=malformed", `field name \"X Y\" is not a token`, "mayHaveRun=true"},
+		},
+		{
+			name:   "long field name with control bytes",
+			answer: answerTo("HTTP/1.1 200 OK", "X\x01"+strings.Repeat("y", 9000)+": 1\r\n\r\n"),
+			log:    []string{"outcome=malformed", `X\x01yyy`},
+		},
+		{
+			name:   "fold",
+			answer: answerTo("HTTP/1.1 200 OK", "X: 1\r\n Y: 1\r\nContent-Length: 0\r\n\r\n"),
+			log:    []string{"outcome=malformed", "line of the header begins with a blank"},
+		},
+		{
+			name:   "early, no length, reset",
+			answer: answerTo("HTTP/1.1 200 OK", "\r\nhalf"),
+			reset:  true,
+			log:    []string{"outcome=cut", "request was written in part, answer has no length"},
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := responder.Responder{
+				Answer: tt.answer,
+				Reset:  tt.reset,
+			}
+			if !tt.reset {
+				p.ReadBefore = -1
+			}
+			c.Assert(p.Start(), qt.IsNil)
+			c.Cleanup(func() { c.Check(p.Close(), qt.IsNil) })
+			b := newFixtureWithTimeout(c, brokenAnswerTimeout)
+			b.putTable()
+			target := b.announce("t0", "desk", p.Addr())
+			var text bytes.Buffer
+			b.f.opts.Log = log.New(&text)
+			a := b.sendBody(http.MethodPost, "/order/1", make([]byte, 8<<20))
+			c.Assert(a.Status, qt.Equals, http.StatusBadGateway)
+			for _, part := range tt.log {
+				c.Check(text.String(), qt.Contains, part)
+			}
+			for line := range strings.Lines(text.String()) {
+				c.Check(len(line) < 1000, qt.IsTrue, qt.Commentf("%d bytes", len(line)))
+				c.Check(strings.ContainsFunc(strings.TrimSuffix(line, "\n"), unicode.IsControl), qt.IsFalse, qt.Commentf("%q", line))
+			}
+			c.Check(b.f.opts.Selector.BackedOff(time.Now(), target.Incarnation), qt.IsTrue)
+		})
+	}
+}
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -199,11 +199,14 @@
 	ctxErr, readErr := a.ctx.Err(), a.conn.readErr
 	a.conn.pool.memory.Release(a.conn.endHeader())
 	a.end(false)
+	bounded := boundedError{
+		error: err,
+	}
 	f := Fault{
 		Reason:     ReasonCut,
 		Status:     http.StatusBadGateway,
 		MayHaveRun: true,
-		cause:      errors.WithMessage(err, message),
+		cause:      errors.WithMessage(bounded, message),
 	}
 	switch {
 	case errors.Is(ctxErr, context.Canceled):
