--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -175,13 +175,10 @@
 
 // checkHeader returns an error if the header of an answer is not valid, or if other readers may take it for another one.
 func checkHeader(resp *http.Response, c *conn) error {
-	if err := validator.StatusLine(resp); err != nil {
-		return err
-	}
 	if c.folds.found {
 		return errFold
 	}
-	return validator.FieldNames(resp.Header)
+	return validator.Header(resp)
 }
 
 // delimited reports whether the header of the answer determines where its body ends.
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -9,6 +9,14 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// Header returns an error that quotes what is not valid in the status line or in a field name of an answer, nil if both are valid.
+func Header(resp *http.Response) error {
+	if err := statusLine(resp); err != nil {
+		return err
+	}
+	return FieldNames(resp.Header)
+}
+
 // FieldNames returns an error that quotes a field name of h which is not a token (RFC 9110, section 5.1), nil if there is none.
 // Another reader of the message may take such a field for one that frames it, such as "Content-Length ".
 func FieldNames(h http.Header) error {
@@ -20,9 +28,9 @@
 	return nil
 }
 
-// StatusLine returns an error that quotes what is not valid in the status line of resp: a version other than HTTP/1, a status
-// without one of the classes 1xx to 5xx, or a reason with control bytes.
-func StatusLine(resp *http.Response) error {
+// statusLine returns an error for a version other than HTTP/1, a status without one of the classes 1xx to 5xx, and a reason with
+// control bytes.
+func statusLine(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
 		return errors.Errorf("version %q is not HTTP/1", resp.Proto)
