Refuse answers with HTTP/1.0 and a Transfer-Encoding

Callers saw: the sizes of the chunks as a part of the body.

Cause: http.ReadResponse removes the field from an answer with HTTP/1.0 and takes the body up to the end of the connection.

Evidence: forwarder.TestBrokenAnswers got a 200 with the body "5\r\nwhole\r\n0\r\n\r\n" before, directly, paced and relayed.

Change: the scanner of headers also notes a Transfer-Encoding. An answer of HTTP/1.0 with one is malformed, as RFC 9112, section 6.1, asks for; targets of HTTP/1.0 without it are accepted as before.

--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -160,6 +160,11 @@
 		answer:     answerTo("HTTP/1.1 200 OK", "X: 1\r\n\t2\r\nContent-Length: 5\r\n\r\nwhole"),
 		readBefore: -1,
 	},
+	{
+		name:       "coding with HTTP/1.0",
+		answer:     answerTo("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+		readBefore: -1,
+	},
 	{
 		name:       "rejection with a blank in a field name",
 		answer:     answerTo("HTTP/1.1 503 Full", testOutcome+": notRun\r\n"+testBusy+": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"),
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -104,7 +104,7 @@
 		if err != nil {
 			return nil, a.fault(err, "no answer")
 		}
-		if err := checkHeader(resp, c); err != nil {
+		if err := checkHeader(resp, &c.scanner); err != nil {
 			return nil, a.fault(err, "malformed answer")
 		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
@@ -169,14 +169,21 @@
 	return errors.WithMessage(a.awaitAck(), "request did not arrive whole")
 }
 
-// errFold refuses answers with line folds rather than to replace these by blanks, as RFC 9112, section 5.2, also allows: a field
-// whose name begins with a blank looks the same, and would be passed on as a part of the field before.
-var errFold = errors.New("line of the header begins with a blank")
+var (
+	// errFold refuses answers with line folds rather than to replace these by blanks, as RFC 9112, section 5.2, also allows: a
+	// field whose name begins with a blank looks the same, and would be passed on as a part of the field before.
+	errFold = errors.New("line of the header begins with a blank")
+	// errCoded refuses answers whose framing is faulty by RFC 9112, section 6.1: HTTP/1.0 has no codings.
+	errCoded = errors.New("answer with HTTP/1.0 has a Transfer-Encoding")
+)
 
 // checkHeader returns an error if the header of an answer is not valid, or if other readers may take it for another one.
-func checkHeader(resp *http.Response, c *conn) error {
-	if c.folds.found {
+func checkHeader(resp *http.Response, s *headerScanner) error {
+	switch {
+	case s.folded:
 		return errFold
+	case s.coded && resp.ProtoMinor == 0 && resp.StatusCode >= 200:
+		return errCoded
 	}
 	return validator.Header(resp)
 }
--- a/sender/conn.go
+++ b/sender/conn.go
@@ -48,8 +48,8 @@
 	// headerRead is the number of bytes read for the header so far, and headerReserved the memory that is reserved for them.
 	headerRead     int64
 	headerReserved int64
-	// folds finds line folds in the header.
-	folds foldDetector
+	// scanner looks at the header.
+	scanner headerScanner
 	// written is the number of bytes of the current request that the kernel accepted.
 	written int64
 	// readErr is the last error of Read. The HTTP parser hides it: it reports a header that ends early as malformed.
@@ -90,7 +90,7 @@
 	n, err := c.Conn.Read(b)
 	if c.headerRemaining != math.MaxInt64 {
 		c.headerRemaining -= int64(n)
-		c.folds.scan(b[:n])
+		c.scanner.scan(b[:n])
 		if !c.reserveHeader(int64(n)) {
 			err = errNoMemory
 		}
@@ -104,7 +104,7 @@
 // beginHeader limits what is read from now on to the size of a header, until endHeader.
 func (c *conn) beginHeader() {
 	c.headerRemaining, c.headerRead = maxAnswerHeader, 0
-	c.folds = foldDetector{}
+	c.scanner = headerScanner{}
 }
 
 // endHeader lifts the limit, and returns the memory that is reserved for the header.
