--- a/responder/responder.go
+++ b/responder/responder.go
@@ -68,7 +68,7 @@
 	return netip.MustParseAddrPort(p.ln.Addr().String())
 }
 
-// Connections returns the number of connections so far, and Requests that of the requests whose header was read.
+// Connections returns the number of connections so far.
 func (p *Responder) Connections() int64 {
 	return p.connections.Load()
 }
--- a/sender/early_test.go
+++ b/sender/early_test.go
@@ -285,7 +285,7 @@
 				c.Check(memory.Held(), qt.Equals, int64(0), qt.Commentf("%s", a.name))
 				s.Close()
 			}
-			checkGolden(c, "early-"+way.name+".golden", lines.String())
+			checkGolden(c, filepath.Join("early", way.name+".golden"), lines.String())
 		})
 	}
 }
