Do not take a rejection that breaks off as proof in delegated dispatch

Callers saw: 503 and "not run" after a rejection of a target, or a refusal of the dispatching host, whose body broke off or whose trailer was malformed. The request was also sent again, though it may not be repeated.

Cause: the dispatcher, and the host that forwards to it, decided by the header and ignored the errors of reading the body. Direct dispatch reads the whole answer first.

Change: both read the whole answer, within the bounds of other answers, before they decide. A fault of that read is the outcome: 502, the request may have run, and one that may not be repeated is not sent again.

Why it works: a fault of sender always says that the request may have run once its answer has begun, and the retries of both go by that.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -311,7 +310,8 @@
 	}
 }
 
-// parseRejection returns a fault in place of an answer whose headers state that the target did not run the request.
+// parseRejection returns a fault in place of an answer whose headers state that the target did not run the request. A rejection
+// that breaks off proves nothing.
 func parseRejection(resp *sender.Response) (*sender.Response, *sender.Fault) {
 	switch resp.Status {
 	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -321,9 +321,12 @@
 	if resp.Header.Get("Bramleyline-Outcome") != "notRun" {
 		return resp, nil
 	}
-	_, _ = io.CopyN(io.Discard, resp, 4<<10)
+	_, f := resp.ReadAll()
 	_ = resp.Close()
-	f := sender.NewRefusal(resp.Header.Get("Bramleyline-Reason"), "target did not run the request")
+	if f != nil {
+		return nil, f
+	}
+	f = sender.NewRefusal(resp.Header.Get("Bramleyline-Reason"), "target did not run the request")
 	f.StatedByPeer = true
 	return nil, f
 }
--- a/router/early_test.go
+++ b/router/early_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bramleyline.example/bramleyline/locator"
 	"bramleyline.example/bramleyline/responder"
 )
 
@@ -72,3 +73,28 @@
 		}
 	}
 }
+
+// Guards against a refusal of the dispatching host that breaks off, and is taken for a proof that the request did not run.
+func TestRefusalOfAHostThatBreaksOffProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	p := responder.Responder{
+		Answer: func(r *http.Request) string {
+			return "HTTP/1.1 503 Full\r\nBramleyline-Request: " + r.Header.Get("Bramleyline-Request") +
+				"\r\nBramleyline-Outcome: notRun\r\nBramleyline-Reason: overloaded\r\nContent-Length: 100\r\n\r\nhalf"
+		},
+		ReadBefore: -1,
+	}
+	c.Assert(p.Start(), qt.IsNil)
+	c.Cleanup(func() { c.Check(p.Close(), qt.IsNil) })
+	s := newTestSystem(t, func(http.ResponseWriter, *http.Request) {})
+	s.publish(func(host int, r *locator.Route) {
+		if host == 1 {
+			r.Peer = p.Addr()
+		}
+	})
+	a := s.call(1, http.MethodPost, "/tally", "5 kg")
+	c.Assert(a.err, qt.IsNil)
+	c.Check(a.status, qt.Equals, http.StatusBadGateway)
+	c.Check(a.outcome, qt.Equals, "unknown")
+	c.Check(p.Requests(), qt.Equals, int64(1))
+}
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -173,6 +173,16 @@
 				"2\r\n{}\r\n0\r\nX Y: 1\r\n\r\n", r.Header.Get("Bramleyline-Request"))
 			return true
 		}},
+		{"rejection cut in its body", 502, "cut", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nBramleyline-Request: %s\r\nBramleyline-Outcome: notRun\r\nBramleyline-Reason: overloaded\r\n"+
+				"Content-Length: 100\r\n\r\nhalf", r.Header.Get("Bramleyline-Request"))
+			return false
+		}},
+		{"rejection with a blank in a field name of its trailer", 502, "malformed", 1, func(c net.Conn, _ int, r *http.Request, _ string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nBramleyline-Request: %s\r\nBramleyline-Outcome: notRun\r\nBramleyline-Reason: overloaded\r\n"+
+				"Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX Y: 1\r\n\r\n", r.Header.Get("Bramleyline-Request"))
+			return true
+		}},
 		{"never answers", 504, "deadline", 1, func(c net.Conn, _ int, _ *http.Request, _ string) bool {
 			_, _ = io.Copy(io.Discard, c)
 			return false
--- a/router/forward.go
+++ b/router/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -75,15 +74,19 @@
 }
 
 // checkPeerAnswer turns an answer that the other host made itself into a fault, with the newer route that it names, if
-// any. Such an answer has an outcome header; from answers of targets the other host removes that header.
+// any. Such an answer has an outcome header; from answers of targets the other host removes that header. One that breaks off
+// proves nothing.
 func checkPeerAnswer(resp *sender.Response) (*sender.Response, *locator.Route, *sender.Fault) {
 	outcome := resp.Header.Get("Bramleyline-Outcome")
 	if outcome == "" {
 		return resp, nil, nil
 	}
-	_, _ = io.CopyN(io.Discard, resp, 4<<10)
+	_, f := resp.ReadAll()
 	_ = resp.Close()
-	f := sender.NewFault(resp.Header.Get("Bramleyline-Reason"), resp.Status, errors.New("dispatching host refused"))
+	if f != nil {
+		return nil, nil, f
+	}
+	f = sender.NewFault(resp.Header.Get("Bramleyline-Reason"), resp.Status, errors.New("dispatching host refused"))
 	f.StatedByPeer = true
 	f.MayHaveRun = outcome != "notRun"
 	return nil, newerRoute(resp.Header), f
