Release the memory of answers that break off in delegated dispatch

Callers saw: nothing at first. After about two hundred answers with headers of 20 KB whose bodies broke off, a host could read no more long headers, and answered 502 for them until it was started again.

Cause: copyAnswer returned at a fault of its first read without closing the response, which holds the reservation for a long header. Malformed trailers end there too since they are refused.

Evidence: TestMemoryOfBrokenAnswersIsReleased failed before: 347,256 of 67,108,864 bytes stayed reserved after one such answer, at the dispatching host and at the one that forwards.

Change: the response is closed on each way out of copyAnswer. The reserver is a field of the Router, so that the test can read it.

Why it works: Close releases what is reserved also after a fault, and does nothing else then.

--- a/router/answer.go
+++ b/router/answer.go
@@ -67,11 +67,11 @@
 	p := answerBuffers.Get().(*[]byte)
 	defer answerBuffers.Put(p)
 	buf := *p
+	defer resp.Close()
 	n, err := fill(resp, buf)
 	if f, ok := err.(*sender.Fault); ok {
 		return f
 	}
-	defer resp.Close()
 	h := x.w.Header()
 	stripHeaders(resp.Header)
 	for name, values := range resp.Header {
--- a/router/early_test.go
+++ b/router/early_test.go
@@ -98,3 +98,40 @@
 	c.Check(a.outcome, qt.Equals, "unknown")
 	c.Check(p.Requests(), qt.Equals, int64(1))
 }
+
+// Guards against memory that stays reserved for the header of an answer whose body breaks off, until the host can read no more
+// long headers.
+func TestMemoryOfBrokenAnswersIsReleased(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 20<<10) + "\r\nContent-Type: application/json\r\nBramleyline-Request: "
+	for _, rest := range []string{
+		"\r\nContent-Length: 100\r\n\r\nhalf",
+		"\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Y: 1\r\n\r\n",
+		"\r\nBramleyline-Outcome: notRun\r\nContent-Length: 100\r\n\r\nhalf",
+		"\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		for host := range 2 {
+			c := qt.New(t)
+			p := responder.Responder{
+				Answer: func(r *http.Request) string {
+					return head + r.Header.Get("Bramleyline-Request") + rest
+				},
+				ReadBefore: -1,
+			}
+			c.Assert(p.Start(), qt.IsNil)
+			s := newTestSystemWithTarget(t, p.Addr(), 10*time.Second)
+			a := s.call(host, http.MethodPost, "/tally", "5 kg")
+			c.Check(a.err, qt.IsNil)
+			// The caller may have a long answer before the host has released it.
+			for end := time.Now().Add(5 * time.Second); s.answersHeld() > 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			c.Check(s.answersHeld(), qt.Equals, int64(0), qt.Commentf("%q", rest))
+			c.Check(p.Close(), qt.IsNil)
+		}
+	}
+}
+
+// answersHeld returns the memory that both hosts hold of answers.
+func (s *testSystem) answersHeld() int64 {
+	return s.routers[0].answers.Held() + s.routers[1].answers.Held()
+}
--- a/router/router.go
+++ b/router/router.go
@@ -68,6 +68,9 @@
 	stopping       atomic.Bool
 	done           chan struct{}
 	closed         atomic.Bool
+
+	// answers bounds the memory of the answers that are being read.
+	answers *reserver.Reserver
 }
 
 // New returns a Router. It refuses requests as notReady until opts.Config and opts.Locator have a value.
@@ -75,10 +78,12 @@
 	if opts.Seed == 0 {
 		opts.Seed = rand.Uint64()
 	}
-	s := sender.New(opts.Dial, sender.WithMemory(&reserver.Reserver{
+	answers := &reserver.Reserver{
 		Limit: maxHeldHeaderBytes,
-	}))
+	}
+	s := sender.New(opts.Dial, sender.WithMemory(answers))
 	r := Router{
+		answers:        answers,
 		opts:           opts,
 		identityPrefix: opts.Host + "-" + strconv.FormatUint(opts.Seed, 36) + "-",
 		sender:         s,
