Bound the errors of health checks, by the same rule as faults

Operators would see: as much of a broken answer to a health check as the target had sent, where the log shows failed checks.

Cause: only faults of sender were shortened; the errors of http.Transport, of validator and of an answer as another target quote whole lines too.

Evidence: TestBrokenAnswersToHealthChecks failed before for long names and reasons: 9,048 and 9,123 bytes.

Change: the bound is the new package abridger, which both use. Health checks return shortened errors.

Why it works: each error of Probe passes the same return.

--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"bramleyline.example/bramleyline/abridger"
 	"bramleyline.example/bramleyline/reserver"
 	"bramleyline.example/bramleyline/shaper"
 	"bramleyline.example/bramleyline/validator"
@@ -203,14 +204,14 @@
 	ctxErr, readErr := a.ctx.Err(), a.conn.readErr
 	a.conn.pool.memory.Release(a.conn.endHeader())
 	a.end(false)
-	bounded := boundedError{
-		error: err,
+	abridged := abridger.Error{
+		Err: err,
 	}
 	f := Fault{
 		Reason:     ReasonCut,
 		Status:     http.StatusBadGateway,
 		MayHaveRun: true,
-		cause:      errors.WithMessage(bounded, message),
+		cause:      errors.WithMessage(abridged, message),
 	}
 	switch {
 	case errors.Is(ctxErr, context.Canceled):
--- a/sender/fault.go
+++ b/sender/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -41,28 +40,6 @@
 	cause        error
 }
 
-// maxErrorText bounds the text of an error that may quote what the peer sent, in bytes. The errors of the parser quote whole lines.
-const maxErrorText = 256
-
-// boundedError shortens the text of an error.
-type boundedError struct {
-	error
-}
-
-// Error returns the text, or its beginning.
-func (e boundedError) Error() string {
-	text := e.error.Error()
-	if len(text) <= maxErrorText {
-		return text
-	}
-	return strings.ToValidUTF8(text[:maxErrorText], "") + "..."
-}
-
-// Unwrap returns the error whose text is shortened.
-func (e boundedError) Unwrap() error {
-	return e.error
-}
-
 // NewFault returns a Fault for a request that did not run; its MayHaveRun is false.
 func NewFault(reason string, status int, cause error) *Fault {
 	return &Fault{
