--- a/controller/feed.go
+++ b/controller/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"time"
 
 	"bramleyline.example/bramleyline/applier"
 )
@@ -21,6 +22,8 @@
 type appliedCommand struct {
 	index uint64
 	data  []byte
+	// at is when this host applied the command.
+	at time.Time
 }
 
 // feed is a change feed: it publishes the newest state and the recent commands that led to it. It is safe for
--- a/controller/loop.go
+++ b/controller/loop.go
@@ -146,6 +146,7 @@
 	batch := applier.NewBatch(before)
 	applied := make([]appliedCommand, 0, len(entries))
 	results := make([]applier.Result, 0, len(entries))
+	now := timekeeper.Now()
 	for _, e := range entries {
 		if e.Index <= before.Index {
 			// The log was reopened after the disk was full, and the state already includes this entry.
@@ -161,6 +162,7 @@
 		applied = append(applied, appliedCommand{
 			index: e.Index,
 			data:  data,
+			at:    now,
 		})
 	}
 	state := batch.State()
--- a/controller/service.go
+++ b/controller/service.go
@@ -52,6 +52,10 @@
 	Waited     time.Duration
 	// Lag is the time since the state of this host was last known to include every committed command.
 	Lag time.Duration
+	// Newest is the log index of that state. The answer is incomplete if Index is below it. Hosts of older versions leave it zero.
+	Newest uint64
+	// Held is the time for which this host had the first of the commands before it answered, zero for a snapshot.
+	Held time.Duration
 }
 
 // ProposeArgs are the arguments of State.Propose.
@@ -109,8 +113,16 @@
 		s.c.feed.wait(ctx, args.Since)
 		cancel()
 	}
+	// The lag is read before the state, so that the state is never older than the lag says.
+	reply.Leader, reply.ContactAge = s.c.Contact()
+	reply.Lag = s.c.Lag()
+	reply.Waited = timekeeper.Since(started)
+	reply.Newest = s.c.State().Index
 	commands, to, ok := s.c.feed.since(args.Since, maxPullBytes)
 	if ok {
+		if len(commands) > 0 {
+			reply.Held = timekeeper.Since(commands[0].at)
+		}
 		reply.Index = to
 		for _, c := range commands {
 			reply.Indexes = append(reply.Indexes, c.index)
@@ -123,9 +135,6 @@
 		}
 		reply.Index = reply.SnapshotIndex
 	}
-	reply.Leader, reply.ContactAge = s.c.Contact()
-	reply.Lag = s.c.Lag()
-	reply.Waited = timekeeper.Since(started)
 	return nil
 }
 
--- a/director/entry.go
+++ b/director/entry.go
@@ -87,7 +87,9 @@
 	mu      sync.Mutex
 	view    *viewer.View
 	changed chan struct{}
-	limits  atomic.Pointer[matcher.Limits]
+	// viewCurrentAt is what currentAt returned last.
+	viewCurrentAt time.Time
+	limits        atomic.Pointer[matcher.Limits]
 	// stopTimes is nil until the host stops.
 	stopTimes atomic.Pointer[forwarder.Stop]
 
@@ -147,6 +149,7 @@
 		Recorder:    rec,
 		Log:         d.log,
 		ViewAge:     e.stateAge,
+		Staleness:   e.staleness,
 		Meter:       &e.meter,
 		Arrivals:    &e.loads,
 		Demand:      e.loads.prioritized,
@@ -293,6 +296,7 @@
 	close(e.changed)
 	e.changed = make(chan struct{})
 	e.mu.Unlock()
+	e.logChanges(old, v, st)
 }
 
 // sendReports reports the load of keys, the slowness of targets and suspect requests to the control host that is the
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -123,6 +123,7 @@
 }
 
 func (x *exchange) send(ctx context.Context, t *viewer.Target) (*sender.Response, []byte, *sender.Fault) {
+	chosen, recheck := time.Now(), x.recheck(t)
 	resp, fault := x.f.opts.Sender.Send(ctx, &sender.Request{
 		Addr:         t.Addr,
 		Method:       x.req.Method,
@@ -138,7 +139,13 @@
 		Deadline:     x.deadline,
 		Connections:  x.maxConnections(),
 		SettleTime:   settleTime,
-		Check:        x.recheck(t),
+		Check: func() error {
+			x.queued, x.staleness = time.Since(chosen), x.viewStaleness()
+			if recheck == nil {
+				return nil
+			}
+			return recheck()
+		},
 
 		UniqueIdentity: true,
 	})
@@ -231,7 +238,8 @@
 	x.result, x.lastErr = reason, detail
 	x.f.opts.Log.Info("attempt", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "key", x.keyText(),
 		"target", t.ID, "attempt", x.attempts, "outcome", reason, "detail", detail, "mayHaveRun", x.possibleRuns > 0,
-		"left", time.Until(x.deadline).Milliseconds(), "index", x.index())
+		"left", time.Until(x.deadline).Milliseconds(), "index", x.index(), "queued", x.queued.Milliseconds(),
+		"staleness", x.staleness.Milliseconds())
 }
 
 // reportSlowness passes the observed time of a request at a target of a keyed service to the meter, if it was measured.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -123,6 +123,10 @@
 	staleAttempts int
 	// retryAfter is the Retry-After delay for the caller if the last attempt was rejected.
 	retryAfter time.Duration
+	// queued is the time from the choice of the last target until the request was about to be written, and staleness that of the view
+	// then.
+	queued    time.Duration
+	staleness time.Duration
 	// place is the place of an upload at its target, nil if it has none.
 	place *uploadPlace
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,8 @@
 	Log      *log.Logger
 	// ViewAge returns the age of the view: the time since a control host last confirmed it. It may be nil.
 	ViewAge func() time.Duration
+	// Staleness returns the time since the view was last known to have every committed change. It may be nil.
+	Staleness func() time.Duration
 	// Quarantiner detects requests that crash their targets; it may be nil.
 	Quarantiner *quarantiner.Quarantiner
 	// Dial opens connections to targets that show whether they listen; nil means a net.Dialer.
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -12,11 +12,14 @@
 	"bramleyline.example/bramleyline/viewer"
 )
 
-// logAnswer logs late answers and a sample of the others.
+// logStaleness is the staleness of the view from which each answer is logged.
+const logStaleness = time.Second
+
+// logAnswer logs late answers, those to requests that were sent by a stale view, and a sample of the others.
 func (x *exchange) logAnswer(t *viewer.Target, status int, took time.Duration, load *selector.Load) {
 	total := time.Since(x.req.Arrived)
 	late := x.route.Objective > 0 && total+x.age > x.route.Objective
-	if !late && x.f.onTimeAnswers.Add(1)%logSampleInterval != 0 {
+	if !late && x.staleness < logStaleness && x.f.onTimeAnswers.Add(1)%logSampleInterval != 0 {
 		return
 	}
 	if load == nil {
@@ -26,7 +29,8 @@
 		"target", t.ID, "status", status, "late", late, "took", total.Milliseconds(), "atTarget", took.Milliseconds(),
 		"objective", x.route.Objective.Milliseconds(), "sends", x.attempts,
 		"expected", x.f.serviceTime(x.route.Name).expected().Milliseconds(), "running", load.Running,
-		"waiting", load.Waiting, "slots", load.Slots, "slowness", load.Slowness, "age", x.age.Milliseconds(), "index", x.index())
+		"waiting", load.Waiting, "slots", load.Slots, "slowness", load.Slowness, "age", x.age.Milliseconds(), "index", x.index(),
+		"queued", x.queued.Milliseconds(), "staleness", x.staleness.Milliseconds())
 }
 
 // giveUp ends the request without an answer of a target: with a refusal if no target can have run it, otherwise with a
@@ -86,6 +90,14 @@
 	return x.f.opts.ViewAge()
 }
 
+// viewStaleness returns the time since the view of this host was last known to have every committed change.
+func (x *exchange) viewStaleness() time.Duration {
+	if x.f.opts.Staleness == nil {
+		return 0
+	}
+	return x.f.opts.Staleness()
+}
+
 func (x *exchange) routeName() string {
 	if x.route == nil {
 		return ""
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -30,6 +30,8 @@
 	// stallTimeout is how long, beyond the wait at the source, nothing may arrive before a call fails. A snapshot may
 	// take longer as a whole: one of 300 KB takes a second on a link of 2.4 Mbit/s.
 	stallTimeout = 500 * time.Millisecond
+	// unlimitedBytes is a total size of commands up to which sources of older versions cut no answer off.
+	unlimitedBytes = 512 << 10
 	// callTimeout bounds one call as a whole.
 	callTimeout = 20 * time.Second
 	// retryDelay is the pause after all sources were tried. It keeps a host from calling unreachable sources in a tight
@@ -75,8 +77,13 @@
 	leader string
 	// contactAt is when the leader was last known to be in contact with a majority and with the source of this host.
 	contactAt time.Time
+	// currentAt is the latest time up to which state is known to have every committed command.
+	currentAt time.Time
+	arrival   Arrival
 	// answeredAt is when a source last answered a pull.
 	answeredAt time.Time
+	// failed counts the calls that failed since then.
+	failed int
 	// confirmed is what Confirmed returns.
 	confirmed bool
 
@@ -164,6 +171,21 @@
 	return p.leader, timekeeper.Since(p.contactAt)
 }
 
+// Current returns the newest state and the latest time, of timekeeper, up to which it is known to have every committed command.
+// Unlike the age of Contact, that time is not that of an answer which lacks the last commands.
+func (p *Puller) Current() (*applier.State, time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state, p.currentAt
+}
+
+// Arrival returns how the newest state reached this host.
+func (p *Puller) Arrival() Arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.arrival
+}
+
 // Silence returns the time since a source last answered a pull. Unlike the age of the contact, it does not grow while there is no
 // leader.
 func (p *Puller) Silence() time.Duration {
@@ -238,11 +260,15 @@
 
 // sourceFailed logs that the source in use failed and avoids it for avoidDuration. It does nothing for another source.
 func (p *Puller) sourceFailed(s Source, err error) {
+	p.mu.Lock()
+	p.failed++
+	p.mu.Unlock()
 	if p.Source() != s.Addr {
 		return
 	}
 	if p.log != nil {
-		p.log.Warn("lost the source of state", "source", s.Addr, "index", p.State().Index, "err", err)
+		p.log.Warn("lost the source of state", "source", s.Addr, "index", p.State().Index, "answeredBefore",
+			p.Silence().Milliseconds(), "err", err)
 	}
 	p.swapSource(netip.AddrPort{})
 	p.avoided, p.avoidedUntil = s.Addr, timekeeper.Now().Add(avoidDuration)
@@ -251,10 +277,17 @@
 // sourceAnswered makes s the source in use and logs a change.
 func (p *Puller) sourceAnswered(s Source) {
 	p.mu.Lock()
-	p.answeredAt = timekeeper.Now()
+	now := timekeeper.Now()
+	silence := now.Sub(p.answeredAt)
+	if p.answeredAt.IsZero() {
+		silence = 0
+	}
+	p.answeredAt = now
+	failed := p.failed
+	p.failed = 0
 	p.mu.Unlock()
 	if p.swapSource(s.Addr) != s.Addr && p.log != nil {
-		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index)
+		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index, "silence", silence.Milliseconds(), "failedCalls", failed)
 	}
 }
 
@@ -338,6 +371,7 @@
 	}, &reply); err != nil {
 		return err
 	}
+	arrived := timekeeper.Now()
 	next, err := applyReply(old, &reply)
 	if err != nil {
 		if p.log != nil {
@@ -348,10 +382,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if next.Index > p.state.Index {
+		p.arrival = Arrival{
+			At:         arrived,
+			Held:       reply.Held,
+			Lag:        reply.Lag,
+			Transit:    arrived.Sub(started) - reply.Waited,
+			Before:     p.state.Index,
+			BeforeAsOf: p.currentAt,
+		}
 		p.state = next
 		p.notifyWaiters()
 	}
 	// The source sent the answer no earlier than Waited after the call started.
+	if asOf := started.Add(reply.Waited - reply.Lag); complete(&reply) && asOf.After(p.currentAt) {
+		p.currentAt = asOf
+	}
 	if contactAt := started.Add(reply.Waited - reply.ContactAge); reply.Leader != "" && contactAt.After(p.contactAt) {
 		p.leader, p.contactAt = reply.Leader, contactAt
 	}
@@ -366,6 +411,19 @@
 	return nil
 }
 
+// complete reports whether a reply, together with the state before, has everything that its source had. Sources of older versions
+// do not tell.
+func complete(r *controller.PullReply) bool {
+	if r.Newest > 0 {
+		return r.Index >= r.Newest
+	}
+	size := 0
+	for _, c := range r.Commands {
+		size += len(c)
+	}
+	return r.Snapshot == nil && size < unlimitedBytes
+}
+
 // notifyWaiters closes the channel that Changed returned. The caller holds mu.
 func (p *Puller) notifyWaiters() {
 	close(p.notify)
