--- a/forwarder/upload.go
+++ b/forwarder/upload.go
@@ -121,13 +121,15 @@
 			excluded = append(excluded, t.Incarnation)
 		}
 	}
-	t := x.f.opts.Selector.Choose(now, pool, need, excluded)
-	if t == nil {
-		return nil
-	}
-	place, _ := x.f.uploads.enter(t.Incarnation, true)
-	if place == nil {
-		return nil
+	var t *viewer.Target
+	var place *uploadPlace
+	for place == nil {
+		if t = x.f.opts.Selector.Choose(now, pool, need, excluded); t == nil {
+			return nil
+		}
+		// Another upload may have chosen the target at the same time.
+		place, _ = x.f.uploads.enter(t.Incarnation, true)
+		excluded = append(excluded, t.Incarnation)
 	}
 	if x.f.opts.Limiter.Take(ctx, t, limiter.Request{
 		Urgent: v.Table.MostUrgent(x.route, x.service.Name),
