--- a/director/entry.go
+++ b/director/entry.go
@@ -21,6 +21,7 @@
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/revalidator"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/timekeeper"
@@ -64,6 +65,12 @@
 	// settings' times begin with the acknowledgement.
 	drainShare = 0.15
 	outShare   = 0.3
+	// boundShare is the share of both times, counted from the latest time at which the drain or takeout was certainly not committed,
+	// up to which any request is sent. The rest is for its way to the target: on a narrow link, what other requests have written
+	// before it comes first.
+	boundShare = 0.7
+	// denialTime is how long a health check in which a target did not confirm that it takes requests stands.
+	denialTime = 500 * time.Millisecond
 	// retrySafety is the share of the allowed retries that hosts use. Their retry budgets also count requests that reach no
 	// target, which would allow too many retries.
 	retrySafety = 0.8
@@ -94,6 +101,8 @@
 	stopTimes atomic.Pointer[forwarder.Stop]
 
 	meter meter
+	// validity remembers which targets have confirmed that they take requests, by the clock of timekeeper.
+	validity revalidator.Revalidator[registrar.Incarnation]
 	// loads exchanges the loads of targets and the arriving work with the control host.
 	loads loads
 	// suspects records the requests that are suspected of crashing their targets.
@@ -125,6 +134,9 @@
 		changed: make(chan struct{}),
 		silence: d.puller.Silence,
 	}
+	e.builder.LastCurrent = e.supersededAt
+	e.validity.Lifetime = time.Duration(boundShare * float64(s.Direct.DrainTime))
+	e.validity.RetryInterval = denialTime
 	e.loads.name, e.loads.selector, e.loads.log = s.Name, e.selector, d.log
 	e.loads.view = func() *viewer.View {
 		v, _ := e.currentView()
@@ -150,6 +162,7 @@
 		Log:         d.log,
 		ViewAge:     e.stateAge,
 		Staleness:   e.staleness,
+		Validity:    &e.validity,
 		Meter:       &e.meter,
 		Arrivals:    &e.loads,
 		Demand:      e.loads.prioritized,
@@ -167,6 +180,8 @@
 			ColdSlack:  s.Direct.ColdSlack,
 			DrainTime:  time.Duration(drainShare * float64(s.Direct.DrainTime)),
 			OutTime:    time.Duration(outShare * float64(s.Direct.OutTime)),
+			DrainBound: e.validity.Lifetime,
+			OutBound:   time.Duration(boundShare * float64(s.Direct.OutTime)),
 		},
 	})
 	e.acceptor = &acceptor.Acceptor{
@@ -262,6 +277,7 @@
 			e.sender.Trim(time.Now())
 			e.selector.Forget(time.Now().Add(-forgetAfter))
 			e.limiter.Forget(timekeeper.Now().Add(-forgetAfter))
+			e.validity.Forget(timekeeper.Now().Add(-forgetAfter))
 		}
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/stripper"
+	"bramleyline.example/bramleyline/timekeeper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -59,6 +60,9 @@
 		return nil, x.route.Repeatable
 	}
 	tracked.answered(resp.Status, reply.NotRun)
+	if v := x.f.opts.Validity; v != nil && reply.Stays {
+		v.Confirm(x.sentAt, t.Incarnation)
+	}
 	x.observeLimit(t, reply)
 	x.f.serviceLoad(x.service.Name).observeVariation(t, reply.Load)
 	if reply.NotRun {
@@ -123,7 +127,7 @@
 }
 
 func (x *exchange) send(ctx context.Context, t *viewer.Target) (*sender.Response, []byte, *sender.Fault) {
-	chosen, recheck := time.Now(), x.recheck(t)
+	chosen := time.Now()
 	resp, fault := x.f.opts.Sender.Send(ctx, &sender.Request{
 		Addr:         t.Addr,
 		Method:       x.req.Method,
@@ -140,11 +144,8 @@
 		Connections:  x.maxConnections(),
 		SettleTime:   settleTime,
 		Check: func() error {
-			x.queued, x.staleness = time.Since(chosen), x.viewStaleness()
-			if recheck == nil {
-				return nil
-			}
-			return recheck()
+			x.queued, x.staleness, x.sentAt = time.Since(chosen), x.viewStaleness(), timekeeper.Now()
+			return x.recheck(t)
 		},
 
 		UniqueIdentity: true,
@@ -199,6 +200,11 @@
 	if f.MayHaveRun {
 		x.possibleRuns++
 	}
+	if unsentByChoice(f) {
+		x.attempts--
+		x.withheld++
+		counters.Add("withheld", 1)
+	}
 	x.recordFailure(t, f.Reason, f.Error())
 	if !f.MayHaveRun {
 		// The connection was refused or none was free. Another target may run the request, but a key has only one
--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -26,6 +26,8 @@
 	NotRun bool
 	// Misdirected is true if the target is not the one that the request names, or does not own the key.
 	Misdirected bool
+	// Stays is true if the answer shows that the target had not begun to leave when it made it.
+	Stays bool
 	// Load is the reported load of the target, nil if the answer has none.
 	Load *selector.Load
 	// Limit is the number of requests per second that the target takes from all hosts together, nil if the answer states
@@ -44,6 +46,8 @@
 	Own(name string) bool
 	// Reply reads the status and headers of a target's answer.
 	Reply(status int, h http.Header) Reply
+	// Healthy reports whether the answer to a health check says that the target id takes requests and does not leave.
+	Healthy(id string, status int, h http.Header) bool
 	// EchoHeader returns the name of the header in which targets echo the ID of a request.
 	EchoHeader() string
 }
--- a/forwarder/codec_test.go
+++ b/forwarder/codec_test.go
@@ -19,6 +19,7 @@
 	testOutcome  = "Bramleyline-Outcome"
 	testBusy     = "Bramleyline-Busy"
 	testLimit    = "Bramleyline-Limit"
+	testLeaving  = "Bramleyline-Leaving"
 )
 
 // testCodec is a Codec for the test headers.
@@ -66,6 +67,7 @@
 	r := Reply{
 		Misdirected: status == http.StatusMisdirectedRequest,
 	}
+	r.Stays = !r.Misdirected && h.Get(testLeaving) == ""
 	r.NotRun = r.Misdirected || h.Get(testOutcome) == "notRun"
 	if v := h.Get(testBusy); v != "" {
 		busy, _ := strconv.Atoi(v)
@@ -80,6 +82,10 @@
 	return r
 }
 
+func (testCodec) Healthy(id string, status int, h http.Header) bool {
+	return status == http.StatusOK && h.Get(testTarget) == id
+}
+
 func (testCodec) EchoHeader() string {
 	return testRequest
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -36,6 +36,8 @@
 	reasonCallerLeft = "callerLeft"
 	// reasonStopping means that this host stops and may end before the request does.
 	reasonStopping = "stopping"
+	// reasonUnconfirmed means that the view of this host is stale and targets do not confirm that they take requests.
+	reasonUnconfirmed = "unconfirmed"
 )
 
 const (
@@ -110,8 +112,9 @@
 
 	// tried lists the incarnations of targets to which the request was sent, in the order of their first attempts.
 	tried []registrar.Incarnation
-	// attempts is the number of attempts so far.
+	// attempts is the number of attempts so far, without those that were withheld before anything was written.
 	attempts int
+	withheld int
 	// possibleRuns is the number of attempts in which a target may have run the request.
 	possibleRuns int
 	// lastErr and result describe the last attempt or the final answer, for logs and counters.
@@ -127,6 +130,8 @@
 	// then.
 	queued    time.Duration
 	staleness time.Duration
+	// sentAt is when the request was about to be written, on the clock of timekeeper.
+	sentAt time.Time
 	// place is the place of an upload at its target, nil if it has none.
 	place *uploadPlace
 }
@@ -202,6 +207,12 @@
 		if a := x.refuseInStop(); a != nil {
 			return a
 		}
+		if !x.validate(ctx, t) {
+			if a := x.unconfirmed(ctx, t); a != nil {
+				return a
+			}
+			continue
+		}
 		if x.attempts > 0 && !x.f.withdrawRetry(x.service.Name) {
 			return x.giveUp(reasonOverloaded, x.retryAfter)
 		}
@@ -218,7 +229,7 @@
 			}
 			return x.relay(ctx)
 		}
-		if !retry || x.possibleRuns >= max(1, x.route.MaxAttempts) || x.attempts >= maxTotalAttempts ||
+		if !retry || x.possibleRuns >= max(1, x.route.MaxAttempts) || x.attempts+x.withheld >= maxTotalAttempts ||
 			time.Until(x.deadline) < minAttemptTime {
 			return x.giveUp(x.result, x.retryAfter)
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,7 +20,9 @@
 	"bramleyline.example/bramleyline/prioritizer"
 	"bramleyline.example/bramleyline/quarantiner"
 	"bramleyline.example/bramleyline/recorder"
+	"bramleyline.example/bramleyline/registrar"
 	"bramleyline.example/bramleyline/retrier"
+	"bramleyline.example/bramleyline/revalidator"
 	"bramleyline.example/bramleyline/selector"
 	"bramleyline.example/bramleyline/sender"
 	"bramleyline.example/bramleyline/shaper"
@@ -50,6 +52,9 @@
 	ViewAge func() time.Duration
 	// Staleness returns the time since the view was last known to have every committed change. It may be nil.
 	Staleness func() time.Duration
+	// Validity decides whether a target may get requests that this host knows from a stale view, and remembers which targets
+	// have confirmed that they take some. Nil means that the view is always fresh.
+	Validity *revalidator.Revalidator[registrar.Incarnation]
 	// Quarantiner detects requests that crash their targets; it may be nil.
 	Quarantiner *quarantiner.Quarantiner
 	// Dial opens connections to targets that show whether they listen; nil means a net.Dialer.
@@ -89,6 +94,10 @@
 	// OutTime after this host learned that operators took its data centre out.
 	DrainTime time.Duration
 	OutTime   time.Duration
+	// DrainBound and OutBound are the same, counted from the latest time at which that was certainly not committed. Zero means no
+	// bound.
+	DrainBound time.Duration
+	OutBound   time.Duration
 }
 
 // Meter measures the load on the keys of keyed services and the observed slowness of their targets.
--- a/forwarder/owner.go
+++ b/forwarder/owner.go
@@ -8,6 +8,7 @@
 	"bramleyline.example/bramleyline/acceptor"
 	"bramleyline.example/bramleyline/limiter"
 	"bramleyline.example/bramleyline/selector"
+	"bramleyline.example/bramleyline/timekeeper"
 	"bramleyline.example/bramleyline/viewer"
 )
 
@@ -121,12 +122,17 @@
 		return nil, t != nil
 	}
 	l := x.f.opts.Limits
-	if t.Draining && now.Sub(t.Since) > l.DrainTime || t.Out && now.Sub(t.Since) > l.OutTime {
+	if t.Draining && ended(now, t, l.DrainTime, l.DrainBound) || t.Out && ended(now, t, l.OutTime, l.OutBound) {
 		return nil, true
 	}
 	return t, false
 }
 
+// ended reports whether the time is over for which the owner t, which leaves, still gets requests.
+func ended(now time.Time, t *viewer.Target, sinceLearned, sinceCommit time.Duration) bool {
+	return now.Sub(t.Since) > sinceLearned || sinceCommit > 0 && timekeeper.Since(t.LeavesAfter) > sinceCommit
+}
+
 // admit returns a refusal if t, the owner of the key, cannot begin the request in time. It may wait for a token of t.
 func (x *exchange) admit(ctx context.Context, now time.Time, v *viewer.View, t *viewer.Target) *acceptor.Answer {
 	if x.f.opts.Selector.Unresponsive(now, t.Incarnation) {
--- a/forwarder/recheck.go
+++ b/forwarder/recheck.go
@@ -12,30 +12,36 @@
 )
 
 var (
-	errTargetLeft  = errors.New("target may not be used any more after the wait for the link")
+	errTargetLeft  = errors.New("target may not be used any more after a wait")
+	errViewStale   = errors.New("view became stale during a wait")
 	errNoTimeToRun = errors.New("host stops too soon after the wait for the link")
 )
 
-// recheck returns the function that checks, once the body has waited for the link, whether it may still go to t. It is nil for
-// requests that do not wait.
-func (x *exchange) recheck(t *viewer.Target) func() error {
-	size := 0
-	for _, part := range x.req.Body {
-		size += len(part)
-	}
-	if !x.f.opts.Link.Active() || size <= shaper.LongBody {
-		return nil
-	}
-	return func() error {
+// recheck decides right before the first byte of a request is written whether it may still go to t: it may have waited for the link
+// or for a connection since t was chosen.
+func (x *exchange) recheck(t *viewer.Target) error {
+	if x.isLong() {
 		if retryAfter, ok := x.timeInStop(); !ok {
 			x.retryAfter = retryAfter
 			return sender.NewFault(reasonStopping, http.StatusServiceUnavailable, errNoTimeToRun)
 		}
-		if !x.stillUsable(t) {
-			return sender.NewFault(sender.ReasonStaleRoute, http.StatusServiceUnavailable, errTargetLeft)
-		}
-		return nil
 	}
+	if !x.stillUsable(t) {
+		return sender.NewFault(sender.ReasonStaleRoute, http.StatusServiceUnavailable, errTargetLeft)
+	}
+	if !x.fresh(t) {
+		return sender.NewFault(sender.ReasonStaleRoute, http.StatusServiceUnavailable, errViewStale)
+	}
+	return nil
+}
+
+// isLong reports whether the body waits for the link.
+func (x *exchange) isLong() bool {
+	size := 0
+	for _, part := range x.req.Body {
+		size += len(part)
+	}
+	return x.f.opts.Link.Active() && size > shaper.LongBody
 }
 
 // stillUsable reports whether the newest view allows the request to go to t.
@@ -59,5 +65,5 @@
 
 // unsentByChoice reports whether f is a fault of recheck, which tells nothing about the target or the network.
 func unsentByChoice(f *sender.Fault) bool {
-	return errors.Is(f, errTargetLeft) || errors.Is(f, errNoTimeToRun)
+	return errors.Is(f, errTargetLeft) || errors.Is(f, errViewStale) || errors.Is(f, errNoTimeToRun)
 }
--- a/platformemulator/platformemulator.go
+++ b/platformemulator/platformemulator.go
@@ -104,9 +104,11 @@
 	// seq is the sequence number of the last announcement.
 	seq uint64
 	// running is the number of requests in progress.
-	running   int
-	held      []heldSpan
-	runCounts map[string]int
+	running int
+	// healthChecks is the number of health checks that were answered.
+	healthChecks int
+	held         []heldSpan
+	runCounts    map[string]int
 	// limitText is the text of the limit in answers, empty for none. If it is a limit, limit is its value and limitSince the
 	// time since which answers state one.
 	limitText  string
@@ -192,6 +194,34 @@
 	e.draining = true
 }
 
+func (e *Emulator) isDraining() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining
+}
+
+// reportHealth answers a health check. A target that drains is not healthy.
+func (e *Emulator) reportHealth(w http.ResponseWriter) {
+	e.mu.Lock()
+	running, draining := e.running, e.draining
+	e.healthChecks++
+	e.mu.Unlock()
+	platform.Counterpart{}.Health(w.Header(), e.opts.ID, selector.Load{
+		Running: running,
+		Slots:   4,
+	})
+	if draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// HealthChecks returns the number of health checks that the target has answered.
+func (e *Emulator) HealthChecks() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.healthChecks
+}
+
 // HeldKeys returns the number of keys that the target holds under grants that have not expired.
 func (e *Emulator) HeldKeys() int {
 	e.mu.Lock()
@@ -282,6 +312,13 @@
 	if err != nil {
 		return
 	}
+	if e.isDraining() {
+		platform.Counterpart{}.Leave(w.Header())
+	}
+	if r.URL.Path == (platform.Counterpart{}).HealthPath() {
+		e.reportHealth(w)
+		return
+	}
 	req := platform.Counterpart{}.Request(r.Header)
 	if req.Expected != "" && req.Expected != e.opts.ID {
 		e.reject(w, req.ID)
--- a/viewer/builder.go
+++ b/viewer/builder.go
@@ -7,6 +7,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/cacher"
 	"bramleyline.example/bramleyline/registrar"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // Builder builds views from successive states. It reuses the parts of the previous view that did not change, so that
@@ -16,6 +17,9 @@
 	Host string
 	// Cacher decodes stored traffic tables.
 	cacher.Cacher
+	// LastCurrent returns the latest time, of timekeeper, at which the last view certainly had every committed change. Nil means
+	// that it had until now.
+	LastCurrent func() time.Time
 
 	last View
 	// hostsAt is the log index of the last change of hosts in the last view, as in applier.State.
@@ -47,10 +51,17 @@
 
 func (b *Builder) addPools(v *View, s *applier.State, now time.Time) {
 	last := b.last
+	news := learned{
+		at:    now,
+		after: timekeeper.Now(),
+	}
+	if b.LastCurrent != nil {
+		news.after = b.LastCurrent()
+	}
 	v.snapshot = &snapshot{
 		registry:      s.Registry,
-		outSince:      outSince(last.snapshot, s, now),
-		drainingSince: drainingSince(last.snapshot, last.Index, s.Registry, now),
+		outSince:      outSince(last.snapshot, s, news),
+		drainingSince: drainingSince(last.snapshot, last.Index, s.Registry, news),
 	}
 	sameOut := last.snapshot != nil && maps.Equal(last.snapshot.outSince, v.snapshot.outSince)
 	for name, svc := range v.Table.Services {
@@ -80,14 +91,14 @@
 	}
 }
 
-// outSince returns the data centres that operators have taken out, each with the time at which this host learned of it.
-func outSince(last *snapshot, s *applier.State, now time.Time) map[string]time.Time {
-	out := make(map[string]time.Time)
+// outSince returns the data centres that operators have taken out. Those that the last snapshot lacks are news.
+func outSince(last *snapshot, s *applier.State, news learned) map[string]learned {
+	out := make(map[string]learned)
 	for name, dc := range s.DataCentres {
 		if !dc.Out {
 			continue
 		}
-		out[name] = now
+		out[name] = news
 		if last != nil {
 			if at, ok := last.outSince[name]; ok {
 				out[name] = at
@@ -97,10 +108,9 @@
 	return out
 }
 
-// drainingSince returns the incarnations that drain, each with the time at which this host learned of it. last is the
-// snapshot at log index lastIndex.
-func drainingSince(last *snapshot, lastIndex uint64, reg registrar.Registry, now time.Time) map[registrar.Incarnation]time.Time {
-	var draining map[registrar.Incarnation]time.Time
+// drainingSince returns the incarnations that drain. Those that last, the snapshot at log index lastIndex, lacks are news.
+func drainingSince(last *snapshot, lastIndex uint64, reg registrar.Registry, news learned) map[registrar.Incarnation]learned {
+	var draining map[registrar.Incarnation]learned
 	if last == nil {
 		lastIndex = 0
 	} else {
@@ -109,7 +119,7 @@
 			return draining
 		}
 	}
-	next := make(map[registrar.Incarnation]time.Time, len(draining))
+	next := make(map[registrar.Incarnation]learned, len(draining))
 	for inc, at := range draining {
 		if reg.Alive(inc) {
 			next[inc] = at
@@ -117,7 +127,7 @@
 	}
 	for t := range reg.ChangedSince(lastIndex) {
 		if _, ok := next[t.Incarnation]; t.Draining && !ok {
-			next[t.Incarnation] = now
+			next[t.Incarnation] = news
 		}
 	}
 	return next
--- a/viewer/builder_test.go
+++ b/viewer/builder_test.go
@@ -153,6 +153,8 @@
 		d := newDeployment(12+seed, 6)
 		b := newBuilder()
 		now := time.Unix(1000, 0)
+		// The last view is known to be current until half a second before a change arrives.
+		b.LastCurrent = func() time.Time { return now.Add(-500 * time.Millisecond) }
 		var previous map[registrar.Incarnation]Target
 		for range 60 {
 			now = now.Add(time.Second)
@@ -169,14 +171,16 @@
 			checkSince := func(t *Target) {
 				if !t.Draining && !t.Out {
 					c.Assert(t.Since.IsZero(), qt.IsTrue)
+					c.Assert(t.LeavesAfter.IsZero(), qt.IsTrue)
 					return
 				}
 				c.Assert(t.Since.IsZero() || t.Since.After(now), qt.IsFalse)
+				c.Assert(t.LeavesAfter, qt.Equals, t.Since.Add(-500*time.Millisecond))
 				if old, ok := previous[t.Incarnation]; ok && old.Draining == t.Draining && old.Out == t.Out {
 					c.Assert(t.Since, qt.Equals, old.Since)
 				}
 				next[t.Incarnation] = *t
-				t.Since = time.Time{}
+				t.Since, t.LeavesAfter = time.Time{}, time.Time{}
 			}
 			for key := 0; key < 1<<16; key += 97 {
 				got, releasing := v.pools["tally"].Owner(uint16(key))
@@ -185,7 +189,7 @@
 				c.Assert(got == nil, qt.Equals, want == nil)
 				if got != nil {
 					checkSince(got)
-					want.Since = time.Time{}
+					want.Since, want.LeavesAfter = time.Time{}, time.Time{}
 					c.Assert(*got, qt.Equals, *want)
 				}
 			}
@@ -193,7 +197,7 @@
 			for i, got := range v.pools["desk"].Targets {
 				checkSince(&got)
 				want := fresh.pools["desk"].Targets[i]
-				want.Since = time.Time{}
+				want.Since, want.LeavesAfter = time.Time{}, time.Time{}
 				c.Assert(got, qt.Equals, want)
 			}
 			previous = next
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -29,10 +29,16 @@
 // snapshot is the state that all pools of a view are read from. It is immutable.
 type snapshot struct {
 	registry registrar.Registry
-	// outSince holds the data centres that operators have taken out, and drainingSince the incarnations that drain, each
-	// with the time at which this host learned of it.
-	outSince      map[string]time.Time
-	drainingSince map[registrar.Incarnation]time.Time
+	// outSince holds the data centres that operators have taken out, and drainingSince the incarnations that drain.
+	outSince      map[string]learned
+	drainingSince map[registrar.Incarnation]learned
+}
+
+// learned tells when a change was committed and became known.
+type learned struct {
+	// at is when this host learned of it, after the latest time, of timekeeper, at which it was certainly not yet committed.
+	at    time.Time
+	after time.Time
 }
 
 // Pool holds the targets of one service.
@@ -58,10 +64,12 @@
 	Limit *float64
 	Cold  bool
 	// Draining says that the target drains, Out that operators have taken its data centre out. Since is when this host
-	// learned of the earlier of the two.
-	Draining bool
-	Out      bool
-	Since    time.Time
+	// learned of the earlier of the two. LeavesAfter is the latest time, of timekeeper, at which neither was certainly
+	// committed, so that nobody can have been promised that the target gets no more requests.
+	Draining    bool
+	Out         bool
+	Since       time.Time
+	LeavesAfter time.Time
 }
 
 // Share returns the part of total that this host may use at the target id, without communication: the parts of all entry
@@ -123,9 +131,15 @@
 		Cold:        t.Cold,
 		Draining:    t.Draining,
 	}
-	v.Since, v.Out = s.outSince[t.DataCentre]
-	if at, ok := s.drainingSince[t.Incarnation]; t.Draining && ok && (!v.Out || at.Before(v.Since)) {
-		v.Since = at
+	out, ok := s.outSince[t.DataCentre]
+	v.Since, v.LeavesAfter, v.Out = out.at, out.after, ok
+	if draining, ok := s.drainingSince[t.Incarnation]; t.Draining && ok {
+		if !v.Out || draining.at.Before(v.Since) {
+			v.Since = draining.at
+		}
+		if !v.Out || draining.after.Before(v.LeavesAfter) {
+			v.LeavesAfter = draining.after
+		}
 	}
 	return v
 }
