--- a/director/director.go
+++ b/director/director.go
@@ -80,10 +80,12 @@
 	log      *log.Logger
 
 	messenger *messenger.Messenger
-	rpc       *messenger.Listener
-	proposer  *proposer.Proposer
-	source    source
-	seeds     atomic.Pointer[[]netip.AddrPort]
+	// pulls carries the pulls of the state alone: a call of another kind that times out closes the connection on which it was made.
+	pulls    *messenger.Messenger
+	rpc      *messenger.Listener
+	proposer *proposer.Proposer
+	source   source
+	seeds    atomic.Pointer[[]netip.AddrPort]
 	// puller pulls the state on an entry host.
 	puller *puller.Puller
 	// dialTarget opens connections to targets.
@@ -152,8 +154,13 @@
 		Key: key,
 	}
 	if s.Roles.Entry {
+		d.pulls = &messenger.Messenger{
+			Key:  key,
+			Dial: s.Dialer(),
+		}
 		if d.link = shaper.New(s.Direct.Link, d.log); d.link != nil {
-			d.messenger.Written = func(n int) { d.link.Written(shaper.Control, n) }
+			written := func(n int) { d.link.Written(shaper.Control, n) }
+			d.messenger.Written, d.pulls.Written = written, written
 		}
 	}
 	d.proposer = &proposer.Proposer{
--- a/director/entry.go
+++ b/director/entry.go
@@ -111,7 +111,7 @@
 
 func (d *Director) startEntry() error {
 	s := d.settings
-	d.puller = puller.New(d.messenger, d.seedSources(), d.log,
+	d.puller = puller.New(d.pulls, d.seedSources(), d.log,
 		puller.WithName(s.Name),
 		puller.WithDataCentre(s.DataCentre),
 		puller.WithWait(pullWait),
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -69,54 +69,63 @@
 	dialFailedAt time.Time
 }
 
-// CallLarge is Call for a large answer, whose transfer may take long: it also ends, with ErrTimeout, if nothing is read
-// from the connection for stallTimeout.
-func (m *Messenger) CallLarge(ctx context.Context, addr netip.AddrPort, stallTimeout time.Duration, method string, args, reply any) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go m.cancelStalled(ctx, cancel, addr, stallTimeout)
-	return m.Call(ctx, addr, method, args, reply)
-}
-
-// cancelStalled cancels a call when nothing was read from addr for stallTimeout. It sleeps until that can be the case.
-func (m *Messenger) cancelStalled(ctx context.Context, cancel context.CancelFunc, addr netip.AddrPort, stallTimeout time.Duration) {
-	lastActivity := time.Now()
+// CallLarge is Call for an answer that may take long to arrive, since it is large or the link is congested. If nothing is read from
+// the connection for stallTimeout, stalled is called once and later calls open another connection. The call itself goes on until ctx
+// ends: its answer may be queued on the link, and a new connection would have to pass the same queue. If it succeeds after all, its
+// connection is used again.
+func (m *Messenger) CallLarge(
+	ctx context.Context, addr netip.AddrPort, stallTimeout time.Duration, stalled func(), method string, args, reply any,
+) error {
+	l, err := m.link(addr)
+	if err != nil {
+		return err
+	}
+	client, conn, err := l.connect(ctx, m, addr)
+	if err != nil {
+		counters.Add("dialErrors", 1)
+		return err
+	}
+	active := time.Now()
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	counters.Add("calls", 1)
 	timer := time.NewTimer(stallTimeout)
 	defer timer.Stop()
+	detached := false
 	for {
 		select {
-		case <-ctx.Done():
-			return
+		case <-call.Done:
+			if call.Error == nil {
+				if detached {
+					// Another call may be dialling, for which the answer does not wait.
+					go m.restore(l, client, conn)
+				}
+				return nil
+			}
+			if _, ok := call.Error.(rpc.ServerError); !ok {
+				l.drop(client)
+				return errors.Wrapf(ErrTimeout, "%s at %s: %v", method, addr, call.Error)
+			}
+			return call.Error
 		case <-timer.C:
+			if last := conn.lastRead(); last.After(active) {
+				active = last
+			}
+			if remaining := stallTimeout - time.Since(active); remaining > 0 {
+				timer.Reset(remaining)
+				continue
+			}
+			counters.Add("stalls", 1)
+			l.detach(client)
+			detached = true
+			stalled()
+		case <-ctx.Done():
+			counters.Add("timeouts", 1)
+			l.drop(client)
+			return errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
 		}
-		if last := m.lastRead(addr); last.After(lastActivity) {
-			lastActivity = last
-		}
-		remaining := stallTimeout - time.Since(lastActivity)
-		if remaining <= 0 {
-			cancel()
-			return
-		}
-		timer.Reset(remaining)
 	}
 }
 
-// lastRead returns the time of the last read from the connection to addr, or the zero time if there is no connection.
-func (m *Messenger) lastRead(addr netip.AddrPort) time.Time {
-	m.mu.Lock()
-	l, ok := m.links[addr]
-	m.mu.Unlock()
-	if !ok {
-		return time.Time{}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.conn == nil {
-		return time.Time{}
-	}
-	return l.conn.lastRead()
-}
-
 // Call calls method at addr and waits for the answer until ctx ends. Its errors are ErrUnreachable, ErrTimeout,
 // ErrAuthentication and the error that the method returned, as a net/rpc ServerError.
 func (m *Messenger) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
@@ -219,6 +228,30 @@
 	_ = client.Close()
 }
 
+// detach leaves client open but makes the next call open a new connection.
+func (l *link) detach(client *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == client {
+		l.client, l.conn = nil, nil
+	}
+}
+
+// restore makes client, which was detached, the connection for the next calls of l, unless there is another one or m is closed. client
+// is closed then.
+func (m *Messenger) restore(l *link, client *rpc.Client, conn *watchedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m.mu.Lock()
+	closed := m.closed
+	m.mu.Unlock()
+	if closed || l.client != nil {
+		_ = client.Close()
+		return
+	}
+	l.client, l.conn = client, conn
+}
+
 // dial opens and authenticates a connection to addr.
 func (m *Messenger) dial(ctx context.Context, addr netip.AddrPort) (*watchedConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -27,8 +27,8 @@
 	// pullWait is how long a source holds an answer back while it has no newer state, and so the interval at which
 	// contact with the leader is confirmed.
 	pullWait = 100 * time.Millisecond
-	// stallTimeout is how long, beyond the wait at the source, nothing may arrive before a call fails. A snapshot may
-	// take longer as a whole: one of 300 KB takes a second on a link of 2.4 Mbit/s.
+	// stallTimeout is how long, beyond the wait at the source, nothing may arrive before another source is tried. A snapshot
+	// may take longer as a whole: one of 300 KB takes a second on a link of 2.4 Mbit/s.
 	stallTimeout = 500 * time.Millisecond
 	// unlimitedBytes is a total size of commands up to which sources of older versions cut no answer off.
 	unlimitedBytes = 512 << 10
@@ -52,6 +52,11 @@
 
 var counters = expvar.NewMap("follower")
 
+var (
+	errLate       = errors.New("answer is late")
+	errLateAnswer = errors.New("another source has answered a late call")
+)
+
 // Source is a control host that serves State.Pull.
 type Source struct {
 	Name string
@@ -87,11 +92,17 @@
 	// confirmed is what Confirmed returns.
 	confirmed bool
 
-	// source is the address of the source in use, guarded by mu. avoided is the source that failed last while in use;
-	// it is not preferred until avoidedUntil.
+	// source is the address of the source in use. avoided is the source that failed last while in use; it is not preferred
+	// until avoidedUntil.
 	source       netip.AddrPort
 	avoided      netip.AddrPort
 	avoidedUntil time.Time
+	// late holds the functions that cancel the late calls.
+	late map[netip.AddrPort]context.CancelFunc
+
+	// lateAnswer receives a value when a late call was answered. calls are the calls in progress.
+	lateAnswer chan struct{}
+	calls      sync.WaitGroup
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -128,6 +139,8 @@
 		state:     &applier.State{},
 		notify:    make(chan struct{}),
 		done:      make(chan struct{}),
+
+		lateAnswer: make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(&p)
@@ -209,14 +222,6 @@
 	return p.source
 }
 
-// swapSource sets the source in use and returns the previous one.
-func (p *Puller) swapSource(addr netip.AddrPort) (old netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old, p.source = p.source, addr
-	return old
-}
-
 // Done returns a channel that is closed when the puller has stopped.
 func (p *Puller) Done() <-chan struct{} {
 	return p.done
@@ -233,22 +238,11 @@
 // run tries the candidates in order, and pulls from one until it fails or a nearer one is known.
 func (p *Puller) run() {
 	defer close(p.done)
+	defer p.calls.Wait()
 	for p.ctx.Err() == nil {
 		for _, s := range p.candidates() {
-			for p.ctx.Err() == nil {
-				started, before := timekeeper.Now(), p.State().Index
-				if err := p.pull(s); err != nil {
-					counters.Add("failedPulls", 1)
-					p.sourceFailed(s, err)
-					break
-				}
-				p.sourceAnswered(s)
-				if p.hasNearer(s) {
-					break
-				}
-				if p.State().Index > before {
-					p.throttle(started)
-				}
+			if err := p.follow(s); errors.Is(err, errLateAnswer) {
+				break
 			}
 		}
 		select {
@@ -258,20 +252,100 @@
 	}
 }
 
+// follow pulls from s until that fails, a nearer source is known, or another source answers a call that was late.
+func (p *Puller) follow(s Source) error {
+	for p.ctx.Err() == nil {
+		started, before := timekeeper.Now(), p.State().Index
+		if err := p.call(s); err != nil {
+			if !errors.Is(err, errLateAnswer) {
+				counters.Add("failedPulls", 1)
+				p.sourceFailed(s, err)
+			}
+			return err
+		}
+		p.sourceAnswered(s)
+		if p.hasNearer(s) {
+			return nil
+		}
+		if p.State().Index > before {
+			p.throttle(started)
+		}
+	}
+	return p.ctx.Err()
+}
+
+// call pulls from s once. It returns errLate if nothing has arrived for stallTimeout longer than s may wait. The call goes on then: its
+// answer may be held up by a congested link. Its late answer is taken, too, and ends the calls of other sources with errLateAnswer.
+func (p *Puller) call(s Source) error {
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+	late, result := make(chan struct{}), make(chan error, 1)
+	p.calls.Go(func() {
+		defer cancel()
+		err := p.pull(ctx, s, func() { close(late) })
+		result <- err
+		select {
+		case <-late:
+			p.lateCallEnded(s, err)
+		default:
+		}
+	})
+	select {
+	case err := <-result:
+		return err
+	case <-late:
+		p.keepLate(s, cancel)
+		return errLate
+	case <-p.lateAnswer:
+		return errLateAnswer
+	}
+}
+
+// keepLate ends the earlier late call of s, if there is one: there is at most one for each source.
+func (p *Puller) keepLate(s Source, cancel context.CancelFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if earlier, ok := p.late[s.Addr]; ok {
+		earlier()
+	}
+	if p.late == nil {
+		p.late = make(map[netip.AddrPort]context.CancelFunc)
+	}
+	p.late[s.Addr] = cancel
+}
+
+// lateCallEnded takes s as the source again if its late call was answered.
+func (p *Puller) lateCallEnded(s Source, err error) {
+	if err != nil {
+		return
+	}
+	counters.Add("lateAnswers", 1)
+	p.mu.Lock()
+	delete(p.late, s.Addr)
+	if p.avoided == s.Addr {
+		p.avoided = netip.AddrPort{}
+	}
+	p.mu.Unlock()
+	p.sourceAnswered(s)
+	select {
+	case p.lateAnswer <- struct{}{}:
+	default:
+	}
+}
+
 // sourceFailed logs that the source in use failed and avoids it for avoidDuration. It does nothing for another source.
 func (p *Puller) sourceFailed(s Source, err error) {
 	p.mu.Lock()
 	p.failed++
-	p.mu.Unlock()
-	if p.Source() != s.Addr {
-		return
+	inUse := p.source == s.Addr
+	if inUse {
+		p.source = netip.AddrPort{}
+		p.avoided, p.avoidedUntil = s.Addr, timekeeper.Now().Add(avoidDuration)
 	}
-	if p.log != nil {
+	p.mu.Unlock()
+	if inUse && p.log != nil {
 		p.log.Warn("lost the source of state", "source", s.Addr, "index", p.State().Index, "answeredBefore",
 			p.Silence().Milliseconds(), "err", err)
 	}
-	p.swapSource(netip.AddrPort{})
-	p.avoided, p.avoidedUntil = s.Addr, timekeeper.Now().Add(avoidDuration)
 }
 
 // sourceAnswered makes s the source in use and logs a change.
@@ -283,10 +357,10 @@
 		silence = 0
 	}
 	p.answeredAt = now
-	failed := p.failed
-	p.failed = 0
+	old, failed := p.source, p.failed
+	p.source, p.failed = s.Addr, 0
 	p.mu.Unlock()
-	if p.swapSource(s.Addr) != s.Addr && p.log != nil {
+	if old != s.Addr && p.log != nil {
 		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index, "silence", silence.Milliseconds(), "failedCalls", failed)
 	}
 }
@@ -312,10 +386,13 @@
 // lately.
 func (p *Puller) nearSources() []Source {
 	st := p.State()
+	p.mu.Lock()
+	avoided, avoidedUntil := p.avoided, p.avoidedUntil
+	p.mu.Unlock()
 	var sources []Source
 	for _, name := range st.Members() {
 		h := st.Hosts[name]
-		failed := h.RPC == p.avoided && timekeeper.Now().Before(p.avoidedUntil)
+		failed := h.RPC == avoided && timekeeper.Now().Before(avoidedUntil)
 		if p.dataCentre != "" && h.DataCentre == p.dataCentre && h.RPC.IsValid() && !failed {
 			sources = append(sources, Source{
 				Name: name,
@@ -357,15 +434,13 @@
 	return sources
 }
 
-// pull makes one call to s and applies the answer. After an error another source should be tried; the state may be
-// newer even then.
-func (p *Puller) pull(s Source) error {
+// pull makes one call to s and applies the answer. It calls stalled once if the answer is late. After an error another source should
+// be tried; the state may be newer even then.
+func (p *Puller) pull(ctx context.Context, s Source, stalled func()) error {
 	old := p.State()
-	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-	defer cancel()
 	started := timekeeper.Now()
 	var reply controller.PullReply
-	if err := p.messenger.CallLarge(ctx, s.Addr, p.wait+stallTimeout, "State.Pull", &controller.PullArgs{
+	if err := p.messenger.CallLarge(ctx, s.Addr, p.wait+stallTimeout, stalled, "State.Pull", &controller.PullArgs{
 		Since: old.Index,
 		Wait:  p.wait,
 	}, &reply); err != nil {
--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -53,6 +53,10 @@
 }
 
 func startSource(c *qt.C, s *fakeSource) netip.AddrPort {
+	return startService(c, s)
+}
+
+func startService(c *qt.C, s any) netip.AddrPort {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	l := &messenger.Listener{}
