--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -60,7 +60,8 @@
 		return nil, x.route.Repeatable
 	}
 	tracked.answered(resp.Status, reply.NotRun)
-	if v := x.f.opts.Validity; v != nil && reply.Stays {
+	if v := x.f.opts.Validity; v != nil && !resp.Closing && !reply.Misdirected {
+		// Each answer of a target that leaves closes its connection (RFC 9112, section 9.6).
 		v.Confirm(x.sentAt, t.Incarnation)
 	}
 	x.observeLimit(t, reply)
--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -26,8 +26,6 @@
 	NotRun bool
 	// Misdirected is true if the target is not the one that the request names, or does not own the key.
 	Misdirected bool
-	// Stays is true if the answer shows that the target had not begun to leave when it made it.
-	Stays bool
 	// Load is the reported load of the target, nil if the answer has none.
 	Load *selector.Load
 	// Limit is the number of requests per second that the target takes from all hosts together, nil if the answer states
--- a/forwarder/codec_test.go
+++ b/forwarder/codec_test.go
@@ -19,7 +19,6 @@
 	testOutcome  = "Bramleyline-Outcome"
 	testBusy     = "Bramleyline-Busy"
 	testLimit    = "Bramleyline-Limit"
-	testLeaving  = "Bramleyline-Leaving"
 )
 
 // testCodec is a Codec for the test headers.
@@ -67,7 +66,6 @@
 	r := Reply{
 		Misdirected: status == http.StatusMisdirectedRequest,
 	}
-	r.Stays = !r.Misdirected && h.Get(testLeaving) == ""
 	r.NotRun = r.Misdirected || h.Get(testOutcome) == "notRun"
 	if v := h.Get(testBusy); v != "" {
 		busy, _ := strconv.Atoi(v)
--- a/forwarder/validity_test.go
+++ b/forwarder/validity_test.go
@@ -67,7 +67,7 @@
 func (l *leavingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	if l.leaves.Load() {
-		w.Header().Set(testLeaving, "1")
+		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path != healthPath {
 		l.requests.Add(1)
--- a/sender/attempt.go
+++ b/sender/attempt.go
@@ -149,6 +149,7 @@
 		body:     resp.Body,
 		parsed:   resp,
 		reusable: !resp.Close && a.cut == nil,
+		Closing:  resp.Close,
 		hasEnd:   hasEnd,
 		Echoed:   echo == r.Identity,
 		attempt:  a,
@@ -301,6 +302,8 @@
 	Connection uint64
 	// LinkWait is the part of the time of the attempt in which the body waited for this host's link.
 	LinkWait time.Duration
+	// Closing is true if the target closes the connection after the answer, as the header says.
+	Closing bool
 	// Echoed is true if the answer repeats the identity of the request.
 	Echoed bool
 
