--- a/puller/puller.go
+++ b/puller/puller.go
@@ -469,7 +469,8 @@
 		p.notifyWaiters()
 	}
 	// The source sent the answer no earlier than Waited after the call started.
-	if asOf := started.Add(reply.Waited - reply.Lag); complete(&reply) && asOf.After(p.currentAt) {
+	whole := complete(&reply)
+	if asOf := started.Add(reply.Waited - reply.Lag); whole && asOf.After(p.currentAt) {
 		p.currentAt = asOf
 	}
 	if contactAt := started.Add(reply.Waited - reply.ContactAge); reply.Leader != "" && contactAt.After(p.contactAt) {
@@ -479,7 +480,7 @@
 		return errors.Errorf("source %s has no contact with the leader, or is behind: contact %s ago, lag %s, index %d", s.Name,
 			reply.ContactAge.Round(time.Millisecond), reply.Lag.Round(time.Millisecond), reply.Index)
 	}
-	if !p.confirmed {
+	if !p.confirmed && whole {
 		p.confirmed = true
 		p.notifyWaiters()
 	}
--- a/puller/puller_test.go
+++ b/puller/puller_test.go
@@ -23,6 +23,8 @@
 	state *applier.State
 	reply controller.PullReply
 	calls int
+	// ahead is how many log indexes the source is ahead of the snapshot that it sends.
+	ahead uint64
 }
 
 func (s *fakeSource) Pull(_ *controller.PullArgs, reply *controller.PullReply) error {
@@ -34,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	reply.Index, reply.SnapshotIndex = s.state.Index, s.state.Index
+	reply.Index, reply.SnapshotIndex, reply.Newest = s.state.Index, s.state.Index, s.state.Index+s.ahead
 	reply.Snapshot, err = controller.CompressSnapshot(encoded)
 	return err
 }
@@ -162,6 +164,23 @@
 	eventually(c, p.Confirmed)
 }
 
+// Guards against a host that starts to serve from an older snapshot, which its source sends together with the lag of a newer state.
+func TestOlderSnapshotIsNotConfirmed(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeSource{
+		ahead: 3,
+	}
+	s.set(5, "leader", 0)
+	p := startPuller(c, s)
+	eventually(c, func() bool { return s.callCount() > 3 })
+	c.Assert(p.State().Index, qt.Equals, uint64(5))
+	c.Assert(p.Confirmed(), qt.IsFalse)
+	s.mu.Lock()
+	s.ahead = 0
+	s.mu.Unlock()
+	eventually(c, p.Confirmed)
+}
+
 // Guards against a host that takes the lack of a leader for that of answers, and the other way round.
 func TestSilenceEndsWithAnAnswer(t *testing.T) {
 	c := qt.New(t)
