--- a/committer/committer.go
+++ b/committer/committer.go
@@ -34,6 +34,13 @@
 	// senderCheckTime is how long such an order is held before it is proposed. A host that was frozen reads orders whose senders
 	// have left long ago; in this time it reads that they have closed their connections, too.
 	senderCheckTime = 50 * time.Millisecond
+	// inForceTimeout bounds how long one order waits for its change to be in force at all hosts: its sender tries another control
+	// host after a second.
+	inForceTimeout = 800 * time.Millisecond
+	// tableLimit and takeoutLimit bound how long an acknowledgement waits for that in all, from the commit on. Orders for the same
+	// table share that time, and their senders give up after 4 s. A takeout is a new command each time it is sent.
+	tableLimit   = 2500 * time.Millisecond
+	takeoutLimit = 700 * time.Millisecond
 	// maxTableBytes bounds the decompressed text of a table.
 	maxTableBytes = 64 << 20
 )
@@ -57,10 +64,20 @@
 	ProposeAfter(ctx context.Context, basis uint64, cmd applier.Command) (applier.Result, error)
 }
 
-// Committer handles control requests. All fields are required.
+// Barrier waits until a change is in force at all hosts that serve callers.
+type Barrier interface {
+	// Await waits until the log up to index is in force at all of them, at most for limit after it was committed. It returns an
+	// error if ctx ends first.
+	Await(ctx context.Context, index uint64, limit time.Duration) error
+}
+
+// Committer handles control requests. All fields but Barrier are required.
 type Committer struct {
 	State    State
 	Proposer Proposer
+	// Barrier holds back the acknowledgements of what hosts cannot find out by themselves: tables and takeouts. Departures need
+	// none, since hosts ask the targets. If it is nil, orders are acknowledged when they are committed.
+	Barrier Barrier
 	// Name is the name of this host.
 	Name string
 	Log  *log.Logger
@@ -140,11 +157,23 @@
 	return nil
 }
 
-// PutTable commits a traffic table, unless one with the same or a higher version is stored already.
+// PutTable commits a traffic table, unless one with the same or a higher version is stored already, and waits until it is in force.
 func (c *Committer) PutTable(ctx context.Context, t *matcher.Table, text []byte) error {
-	if c.State.State().Registry.Table.Version >= t.Version {
-		return nil
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	began := time.Now()
+	stored := func(st *applier.State) bool { return st.Registry.Table.Version >= t.Version }
+	if !stored(c.State.State()) {
+		if err := c.storeTable(ctx, t, text); err != nil {
+			return err
+		}
 	}
+	return errors.Wrap(c.awaitInForce(ctx, began, tableLimit, stored, func(st *applier.State) uint64 {
+		return st.Registry.Table.Index
+	}), "table")
+}
+
+func (c *Committer) storeTable(ctx context.Context, t *matcher.Table, text []byte) error {
 	body, err := compressor.Compress(text, flate.DefaultCompression)
 	if err != nil {
 		return err
@@ -171,6 +200,7 @@
 
 // SetOut takes a data centre out of service or restores it.
 func (c *Committer) SetOut(ctx context.Context, dataCentre string, out bool) error {
+	began, before := time.Now(), c.State.State().Index
 	r, err := c.proposeOrder(ctx, applier.Command{
 		SetService: &applier.SetServiceMsg{
 			DataCentre: dataCentre,
@@ -180,9 +210,39 @@
 	if err == nil && r.Rejection != "" {
 		err = errors.New(r.Rejection)
 	}
+	if err == nil && out {
+		err = c.awaitInForce(ctx, began, takeoutLimit, func(st *applier.State) bool {
+			return st.Index > before && st.DataCentres[dataCentre].Out
+		}, func(st *applier.State) uint64 {
+			return st.Index
+		})
+	}
 	return errors.Wrap(err, "takeout")
 }
 
+// awaitInForce waits until the state of this host has a change that was committed, and then until that is in force at all hosts. index
+// returns a log index by which the change was committed. The order began at began.
+func (c *Committer) awaitInForce(
+	ctx context.Context, began time.Time, limit time.Duration, has func(*applier.State) bool, index func(*applier.State) uint64,
+) error {
+	if c.Barrier == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, began.Add(inForceTimeout))
+	defer cancel()
+	for {
+		changed := c.State.Changed()
+		if st := c.State.State(); has(st) {
+			return c.Barrier.Await(ctx, index(st), limit)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrap(ErrStaleState, "this host has not applied the order")
+		}
+	}
+}
+
 // proposeOrder commits an order that has neither a number nor a time, unless it is outdated. ctx has to end when the sender
 // closes its connection: an order whose sender has left was sent to another host, too, and newer ones may have followed. The
 // state is read before the sender is known to wait, so the leader finds any newer order after it.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/confirmer"
 	"bramleyline.example/bramleyline/journaler"
 	"bramleyline.example/bramleyline/replicator"
 	"bramleyline.example/bramleyline/timekeeper"
@@ -43,6 +44,7 @@
 	journal    *journaler.Journaler
 	core       *replicator.Replicator
 	feed       *feed
+	readers    confirmer.Confirmer
 	peers      map[string]*peer
 	// pending holds the proposals that were appended and are not applied yet, by log index.
 	pending map[uint64]pendingProposal
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 const (
@@ -137,6 +138,21 @@
 	return commands, to, true
 }
 
+// appliedAt returns when the command at index was applied: the zero time if the feed no longer holds it, and the present time if it is
+// yet to come.
+func (f *feed) appliedAt(index uint64) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := sort.Search(len(f.commands), func(i int) bool { return f.commands[i].index >= index })
+	switch {
+	case index > f.state.Index:
+		return timekeeper.Now()
+	case index <= f.baseIndex || i == len(f.commands):
+		return time.Time{}
+	}
+	return f.commands[i].at
+}
+
 // firstAfter returns the position in commands of the first command after index. The caller holds mu.
 func (f *feed) firstAfter(index uint64) int {
 	return sort.Search(len(f.commands), func(i int) bool { return f.commands[i].index > index })
--- a/controller/service.go
+++ b/controller/service.go
@@ -36,6 +36,12 @@
 	// Wait.
 	Since uint64
 	Wait  time.Duration
+	// Reader is the name of the caller, and InForce the log index up to which the log is in force there. Callers of older versions
+	// leave both empty: acknowledgements do not wait for them.
+	Reader  string
+	InForce uint64
+	// Leaving says that the caller serves no more. The answer is empty.
+	Leaving bool
 }
 
 // PullReply is the answer of State.Pull: a snapshot at SnapshotIndex, or commands that lead from Since to Index.
@@ -108,6 +114,13 @@
 // Pull is a long poll: it returns the changes since the caller's state, or a snapshot in their place.
 func (s *stateService) Pull(args *PullArgs, reply *PullReply) error {
 	started := timekeeper.Now()
+	if args.Leaving {
+		s.c.readers.Leave(args.Reader)
+		return nil
+	}
+	if args.Reader != "" {
+		s.c.readers.Confirm(started, args.Reader, args.InForce)
+	}
 	if wait := min(args.Wait, maxPullWait); wait > 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), wait)
 		s.c.feed.wait(ctx, args.Since)
--- a/director/control.go
+++ b/director/control.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/awaiter"
 	"bramleyline.example/bramleyline/committer"
 	"bramleyline.example/bramleyline/configurer"
 	"bramleyline.example/bramleyline/controller"
@@ -135,8 +136,14 @@
 		Handler: d.protocol.ControlHandler(&committer.Committer{
 			State:    c,
 			Proposer: d.proposer,
-			Name:     name,
-			Log:      d.log,
+			Barrier: &awaiter.Awaiter{
+				Log:       c,
+				Messenger: d.messenger,
+				Peers:     ctl.peers,
+				Logger:    d.log,
+			},
+			Name: name,
+			Log:  d.log,
 		}, d.log),
 		ReadHeaderTimeout: controlHeaderTimeout,
 		IdleTimeout:       controlIdleTimeout,
@@ -203,6 +210,18 @@
 	}
 }
 
+// peers returns the rpc addresses of the other members of the control group, whose readers have to be asked for.
+func (c *control) peers() map[string]netip.AddrPort {
+	peers := make(map[string]netip.AddrPort)
+	hosts := c.controller.State().Hosts
+	for _, m := range c.controller.Members() {
+		if addr := hosts[m.Name].RPC; m.Name != c.name && addr.IsValid() {
+			peers[m.Name] = addr
+		}
+	}
+	return peers
+}
+
 func (c *control) isMember() bool {
 	for _, m := range c.controller.Members() {
 		if m.Name == c.name {
--- a/director/entry.go
+++ b/director/entry.go
@@ -115,6 +115,12 @@
 		puller.WithName(s.Name),
 		puller.WithDataCentre(s.DataCentre),
 		puller.WithWait(pullWait),
+		puller.WithInForce(func() uint64 {
+			if v, _ := d.entry.currentView(); v != nil {
+				return v.Index
+			}
+			return 0
+		}),
 	)
 	d.source = d.puller
 	e := &entry{
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -149,7 +149,7 @@
 	}
 	route, ok := v.Table.Match(x.req.Host, x.req.Path)
 	if !ok {
-		if x.f.opts.Link.Active() && x.viewAge() > maxTableAge {
+		if x.f.opts.Link.Active() && max(x.viewAge(), x.viewStaleness()) > maxTableAge {
 			return x.refuse(reasonNoRoute, retryAfterNoTable)
 		}
 		return x.fail(http.StatusNotFound, reasonNoRoute)
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -32,6 +32,8 @@
 	stallTimeout = 500 * time.Millisecond
 	// unlimitedBytes is a total size of commands up to which sources of older versions cut no answer off.
 	unlimitedBytes = 512 << 10
+	// leaveTimeout bounds the last call of a host that stops.
+	leaveTimeout = 100 * time.Millisecond
 	// callTimeout bounds one call as a whole.
 	callTimeout = 20 * time.Second
 	// retryDelay is the pause after all sources were tried. It keeps a host from calling unreachable sources in a tight
@@ -74,6 +76,8 @@
 	// source may hold an answer back.
 	dataCentre string
 	wait       time.Duration
+	// inForce returns the log index up to which the state is in force on this host, nil if it does not confirm that.
+	inForce func() uint64
 
 	mu    sync.Mutex
 	state *applier.State
@@ -128,6 +132,11 @@
 	return func(p *Puller) { p.wait = d }
 }
 
+// WithInForce makes the puller tell its sources up to which log index the state is in force on this host, under the name of WithName.
+func WithInForce(index func() uint64) Option {
+	return func(p *Puller) { p.inForce = index }
+}
+
 // New returns a Puller that pulls from sources, and before them from the control hosts of the preferred data centre.
 // If l is nil, nothing is logged.
 func New(m *messenger.Messenger, sources []Source, l *log.Logger, options ...Option) *Puller {
@@ -227,11 +236,21 @@
 	return p.done
 }
 
-// Close stops the puller.
+// Close stops the puller and tells the source that this host serves no more.
 func (p *Puller) Close() error {
 	p.cancel()
 	p.startOnce.Do(func() { close(p.done) })
 	<-p.done
+	if source := p.Source(); p.inForce != nil && source.IsValid() {
+		ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+		defer cancel()
+		// Without an answer, the source forgets this host after a while.
+		_ = p.messenger.Call(ctx, source, "State.Pull", &controller.PullArgs{
+			Since:   p.State().Index,
+			Reader:  p.name,
+			Leaving: true,
+		}, &controller.PullReply{})
+	}
 	return nil
 }
 
@@ -439,11 +458,15 @@
 func (p *Puller) pull(ctx context.Context, s Source, stalled func()) error {
 	old := p.State()
 	started := timekeeper.Now()
-	var reply controller.PullReply
-	if err := p.messenger.CallLarge(ctx, s.Addr, p.wait+stallTimeout, stalled, "State.Pull", &controller.PullArgs{
+	args := controller.PullArgs{
 		Since: old.Index,
 		Wait:  p.wait,
-	}, &reply); err != nil {
+	}
+	if p.inForce != nil {
+		args.Reader, args.InForce = p.name, p.inForce()
+	}
+	var reply controller.PullReply
+	if err := p.messenger.CallLarge(ctx, s.Addr, p.wait+stallTimeout, stalled, "State.Pull", &args, &reply); err != nil {
 		return err
 	}
 	arrived := timekeeper.Now()
