--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -24,6 +24,10 @@
 	serviceName = "tally"
 	routeHost   = "soak.example"
 	routePath   = "/tally/"
+	// sharedName is a service without keys, and sharedPath the path prefix of its route. One request in sharedInterval is for it.
+	sharedName     = "desk"
+	sharedPath     = "/desk/"
+	sharedInterval = 3
 )
 
 // caller sends requests that must run at most once, over keep-alive connections.
@@ -58,7 +62,12 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		// Only 64 keys, so that each is requested often and runs under two owners at once are noticed.
-		c.send(ctx, c.entries[c.rng.IntN(len(c.entries))], uint16(c.rng.IntN(64)*1021))
+		entry, key := c.entries[c.rng.IntN(len(c.entries))], uint16(c.rng.IntN(64)*1021)
+		if c.sent%sharedInterval == 0 {
+			c.sendPath(ctx, entry, fmt.Sprintf("%s%s-%d", sharedPath, c.name, c.sent+1), key)
+		} else {
+			c.send(ctx, entry, key)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(c.rng.Int64N(int64(2 * meanCallerPause)))):
--- a/soaker/invariants.go
+++ b/soaker/invariants.go
@@ -55,8 +55,8 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
-// recordRun records a run when it begins. A target may still get requests for drainTime after its drain was
-// acknowledged.
+// recordRun records a run when it begins. A target may still get requests for drainTime after its drain was acknowledged, and later
+// not even from a host that is out of contact: that one has to ask the target.
 func (c *invariantChecker) recordRun(m platformemulator.RunMsg, drainTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -70,15 +70,15 @@
 	if status, ok := c.notRunAnswers[m.ID]; ok {
 		c.addViolation("%s ran at %s after the answer %d", m.ID, m.Target, status)
 	}
-	if last := c.lastRuns[m.Key]; last.Fence > m.Fence {
+	if last := c.lastRuns[m.Key]; m.Fence == 0 {
+		// The service has no keys.
+	} else if last.Fence > m.Fence {
 		c.addViolation("key %d ran at %s under fence %d after it had run at %s under fence %d", m.Key, m.Target,
 			m.Fence, last.Target, last.Fence)
 	} else {
 		c.lastRuns[m.Key] = m
 	}
-	// A host that was out of contact when the drain was acknowledged, or since then, may not have received it.
-	if at, ok := c.drainedAt[m.Target]; ok && m.At.Sub(at) > drainTime && !c.inContactSince.IsZero() &&
-		c.inContactSince.Before(at) {
+	if at, ok := c.drainedAt[m.Target]; ok && m.At.Sub(at) > drainTime {
 		c.addViolation("%s reached %s %s after the drain was acknowledged", m.ID, m.Target, m.At.Sub(at))
 	}
 }
--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -47,23 +47,33 @@
 
 // encodeTable returns the encoded traffic table with this version. Tables differ in nothing else.
 func encodeTable(version uint64) ([]byte, error) {
-	return platform.Counterpart{}.Table(matcher.New(version, []matcher.Route{{
-		Name:        "record",
-		Host:        routeHost,
-		Prefix:      routePath,
-		Timeout:     callerTimeout,
-		Objective:   callerTimeout / 2,
-		MaxAttempts: 2,
-		Split: []matcher.Part{{
-			Service: serviceName,
-			Weight:  1,
-		}},
-	}}, map[string]matcher.Service{
+	route := func(name, path, service string) matcher.Route {
+		return matcher.Route{
+			Name:        name,
+			Host:        routeHost,
+			Prefix:      path,
+			Timeout:     callerTimeout,
+			Objective:   callerTimeout / 2,
+			MaxAttempts: 2,
+			Split: []matcher.Part{{
+				Service: service,
+				Weight:  1,
+			}},
+		}
+	}
+	return platform.Counterpart{}.Table(matcher.New(version, []matcher.Route{
+		route("record", routePath, serviceName),
+		route("shared", sharedPath, sharedName),
+	}, map[string]matcher.Service{
 		serviceName: {
 			Name:        serviceName,
 			Connections: 100,
 			Keyed:       true,
 		},
+		sharedName: {
+			Name:        sharedName,
+			Connections: 100,
+		},
 	}, matcher.Limits{}))
 }
 
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -32,6 +32,8 @@
 	kindLimit   = "limit"         // a target states limits in its answers
 	kindPoison  = "poison"        // callers send a request that crashes the targets that run it
 	kindStrand  = "strand"        // an entry host loses its links to all targets
+	// kindHoldNews holds back what an entry host hears from control hosts.
+	kindHoldNews = "holdNews"
 )
 
 const (
@@ -54,6 +56,10 @@
 	meanPoisonGap = 8 * time.Second
 	meanStrandGap = 4 * time.Second
 	minPoisonTime = 6 * time.Second
+	// meanDepartureGap is the mean time between the steps that departureSteps draws, and minHoldTime the least time for which news
+	// is held: with the half second after which a target drains, longer than the drain time.
+	meanDepartureGap = 4 * time.Second
+	minHoldTime      = 3 * time.Second
 	// minLimitTime is the least time for which a target states a limit: longer than the contact time and the window of the
 	// rule together. It may be longer by maxRandomDuration.
 	minLimitTime = 7500 * time.Millisecond
@@ -146,6 +152,7 @@
 	p = append(p, limitSteps(seed, length, targets)...)
 	p = append(p, poisonSteps(seed, length)...)
 	p = append(p, strandSteps(seed, length, entries)...)
+	p = append(p, departureSteps(seed, length, entries, targets)...)
 	slices.SortStableFunc(p, func(a, b step) int { return cmp.Compare(a.offset, b.offset) })
 	return p
 }
@@ -237,3 +244,32 @@
 	}
 	return p
 }
+
+// departureSteps draws the steps in which a target of the service without keys drains while one entry host or all of them hear nothing,
+// with a random source of its own.
+func departureSteps(seed uint64, length time.Duration, entries, targets int) plan {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var p plan
+	for offset := maxStepGap; offset < length; offset += time.Duration(rng.Int64N(int64(2 * meanDepartureGap))) {
+		hold := step{
+			offset:   offset,
+			kind:     kindHoldNews,
+			duration: minHoldTime + time.Duration(rng.Int64N(int64(maxRandomDuration))),
+		}
+		first, n := rng.IntN(entries), 1
+		if rng.IntN(4) == 0 {
+			n = entries
+		}
+		for i := range n {
+			hold.subject = hostName(controlHosts + (first+i)%entries)
+			p = append(p, hold)
+		}
+		p = append(p, step{
+			offset:   offset + time.Duration(rng.Int64N(int64(time.Second))),
+			kind:     kindDrain,
+			subject:  targetName(targets + rng.IntN(sharedTargets)),
+			duration: time.Duration(rng.Int64N(int64(maxRandomDuration))),
+		})
+	}
+	return p
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -46,8 +46,12 @@
 	allTargets = "?t*"
 	// slowPause and slowRun are the times for which a slow host is stopped and runs in turn, which makes it five times
 	// slower.
-	slowPause = 80 * time.Millisecond
-	slowRun   = 20 * time.Millisecond
+	// sharedTargets is the number of targets of the service without keys. Their numbers follow those of the others.
+	sharedTargets = 3
+	// allControls is the pattern of the names of all control hosts.
+	allControls = "?c*"
+	slowPause   = 80 * time.Millisecond
+	slowRun     = 20 * time.Millisecond
 )
 
 // ErrInvariantViolated reports that the system violated an invariant or did not recover in time.
@@ -106,7 +110,7 @@
 	fmt.Fprintf(s.opts.Out, "seed %d, %d entry hosts, %d targets, %d steps in %s:\n%s\n", s.opts.Seed, s.opts.Hosts, s.opts.Targets,
 		len(s.plan), s.opts.For, s.plan)
 	var err error
-	if s.fleet, err = newFleet(s.opts.Binary, s.opts.Folder, s.opts.Hosts, s.opts.Targets); err != nil {
+	if s.fleet, err = newFleet(s.opts.Binary, s.opts.Folder, s.opts.Hosts, s.opts.Targets+sharedTargets); err != nil {
 		return err
 	}
 	defer s.closeTargets()
@@ -140,7 +144,7 @@
 			return err
 		}
 	}
-	for i := range s.opts.Targets {
+	for i := range s.opts.Targets + sharedTargets {
 		if err := s.startTarget(i); err != nil {
 			return err
 		}
@@ -175,11 +179,15 @@
 func (s *Soaker) startTarget(i int) error {
 	name := targetName(i)
 	id := fmt.Sprintf("%s-%d", name, time.Now().UnixMilli())
+	service, keyed := serviceName, i < s.opts.Targets
+	if !keyed {
+		service = sharedName
+	}
 	t := platformemulator.New(platformemulator.Options{
 		ID:         id,
-		Service:    serviceName,
+		Service:    service,
 		DataCentre: dataCentreName(i),
-		Keyed:      true,
+		Keyed:      keyed,
 		Controls:   s.fleet.controls,
 		Work:       serviceTime,
 		Listen:     s.fleet.targets[i].listen,
@@ -276,6 +284,8 @@
 		h.signal(syscall.SIGCONT)
 	case kindSlow:
 		s.slow(s.fleet.find(st.subject), st.duration)
+	case kindHoldNews:
+		s.holdNews(st)
 	case kindReload:
 		s.fleet.find(st.subject).signal(syscall.SIGHUP)
 	default:
@@ -409,6 +419,22 @@
 	}
 }
 
+// holdNews holds back what an entry host and the control hosts send to each other. The host keeps its links to callers and targets.
+func (s *Soaker) holdNews(st step) {
+	set := func(fault injector.Fault) {
+		for _, names := range [][2]string{{st.subject, allControls}, {allControls, st.subject}} {
+			if err := s.fleet.network.Set(names[0], names[1], fault); err != nil {
+				s.checker.reportViolation("step %s: %v", st, err)
+			}
+		}
+	}
+	set(injector.Fault{
+		Hold: true,
+	})
+	time.Sleep(st.duration)
+	set(injector.Fault{})
+}
+
 // runChange runs a step in which the operator or a target acts. Hosts stay in contact during it.
 func (s *Soaker) runChange(ctx context.Context, st step) {
 	changeCtx, cancel := context.WithTimeout(ctx, s.opts.For+recoveryTimeout)
@@ -482,7 +508,7 @@
 		// Another step has replaced it.
 		return nil
 	}
-	for i := range s.opts.Targets {
+	for i := range s.opts.Targets + sharedTargets {
 		if targetName(i) == name {
 			return s.startTarget(i)
 		}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -103,7 +103,8 @@
 			}
 		},
 		"after the drain": func(checker *invariantChecker) {
-			checker.setInContactSince(now)
+			// Hosts are out of contact.
+			checker.setInContactSince(time.Time{})
 			checker.recordDrain("a", now.Add(time.Second))
 			checker.recordRun(run("a", "r1", 1, 1, now.Add(time.Second+2*drainTime)), drainTime)
 		},
