--- a/forwarder/recheck.go
+++ b/forwarder/recheck.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"github.com/pkg/errors"
 
@@ -54,13 +53,9 @@
 	if !ok {
 		return false
 	}
-	i := slices.IndexFunc(pool.Targets, func(other viewer.Target) bool { return other.Incarnation == t.Incarnation })
-	if i < 0 {
-		return false
-	}
+	latest, ok := pool.Target(t.Incarnation)
 	// A target that was cold when it was chosen has an allowance for the request.
-	latest := &pool.Targets[i]
-	return !latest.Draining && !latest.Out && (!latest.Cold || t.Cold)
+	return ok && !latest.Draining && !latest.Out && (!latest.Cold || t.Cold)
 }
 
 // unsentByChoice reports whether f is a fault of recheck, which tells nothing about the target or the network.
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -119,6 +119,15 @@
 	return &target, r.Releasing
 }
 
+// Target returns a target of the pool, with keys or without.
+func (p *Pool) Target(inc registrar.Incarnation) (Target, bool) {
+	t, ok := p.Registered().Get(inc.ID)
+	if !ok || !t.Born.Equal(inc.Born) || !t.Addr.IsValid() {
+		return Target{}, false
+	}
+	return p.snapshot.target(t), true
+}
+
 // target returns t as part of the view.
 func (s *snapshot) target(t *registrar.Target) Target {
 	v := Target{
