--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -76,38 +76,25 @@
 func (m *Messenger) CallLarge(
 	ctx context.Context, addr netip.AddrPort, stallTimeout time.Duration, stalled func(), method string, args, reply any,
 ) error {
-	l, err := m.link(addr)
+	p, err := m.start(ctx, addr, method, args, reply)
 	if err != nil {
 		return err
 	}
-	client, conn, err := l.connect(ctx, m, addr)
-	if err != nil {
-		counters.Add("dialErrors", 1)
-		return err
-	}
-	active := time.Now()
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	counters.Add("calls", 1)
+	active := p.started
 	timer := time.NewTimer(stallTimeout)
 	defer timer.Stop()
 	detached := false
 	for {
 		select {
-		case <-call.Done:
-			if call.Error == nil {
-				if detached {
-					// Another call may be dialling, for which the answer does not wait.
-					go m.restore(l, client, conn)
-				}
-				return nil
+		case <-p.call.Done:
+			err := p.result(addr, method)
+			if err == nil && detached {
+				// Another call may be dialling, for which the answer does not wait.
+				go m.restore(p)
 			}
-			if _, ok := call.Error.(rpc.ServerError); !ok {
-				l.drop(client)
-				return errors.Wrapf(ErrTimeout, "%s at %s: %v", method, addr, call.Error)
-			}
-			return call.Error
+			return err
 		case <-timer.C:
-			if last := conn.lastRead(); last.After(active) {
+			if last := p.conn.lastRead(); last.After(active) {
 				active = last
 			}
 			if remaining := stallTimeout - time.Since(active); remaining > 0 {
@@ -115,12 +102,12 @@
 				continue
 			}
 			counters.Add("stalls", 1)
-			l.detach(client)
+			p.link.detach(p.client)
 			detached = true
 			stalled()
 		case <-ctx.Done():
 			counters.Add("timeouts", 1)
-			l.drop(client)
+			p.link.drop(p.client)
 			return errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
 		}
 	}
@@ -129,35 +116,63 @@
 // Call calls method at addr and waits for the answer until ctx ends. Its errors are ErrUnreachable, ErrTimeout,
 // ErrAuthentication and the error that the method returned, as a net/rpc ServerError.
 func (m *Messenger) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
-	l, err := m.link(addr)
+	p, err := m.start(ctx, addr, method, args, reply)
 	if err != nil {
 		return err
 	}
+	select {
+	case <-p.call.Done:
+		return p.result(addr, method)
+	case <-ctx.Done():
+		counters.Add("timeouts", 1)
+		if p.conn.lastRead().Before(p.started) {
+			p.link.drop(p.client)
+		}
+		return errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
+	}
+}
+
+// pending is a call in progress.
+type pending struct {
+	link    *link
+	client  *rpc.Client
+	conn    *watchedConn
+	call    *rpc.Call
+	started time.Time
+}
+
+// start begins a call at addr, over the connection of its link.
+func (m *Messenger) start(ctx context.Context, addr netip.AddrPort, method string, args, reply any) (*pending, error) {
+	l, err := m.link(addr)
+	if err != nil {
+		return nil, err
+	}
 	client, conn, err := l.connect(ctx, m, addr)
 	if err != nil {
 		counters.Add("dialErrors", 1)
-		return err
+		return nil, err
 	}
 	started := time.Now()
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	counters.Add("calls", 1)
-	select {
-	case <-call.Done:
-		if call.Error == nil {
-			return nil
-		}
-		if _, ok := call.Error.(rpc.ServerError); !ok {
-			l.drop(client)
-			return errors.Wrapf(ErrTimeout, "%s at %s: %v", method, addr, call.Error)
-		}
-		return call.Error
-	case <-ctx.Done():
-		counters.Add("timeouts", 1)
-		if conn.lastRead().Before(started) {
-			l.drop(client)
-		}
-		return errors.Wrapf(ErrTimeout, "%s at %s", method, addr)
+	return &pending{
+		link:    l,
+		client:  client,
+		conn:    conn,
+		call:    client.Go(method, args, reply, make(chan *rpc.Call, 1)),
+		started: started,
+	}, nil
+}
+
+// result returns the error of a call that is done. It closes the connection unless the method itself has returned the error.
+func (p *pending) result(addr netip.AddrPort, method string) error {
+	if p.call.Error == nil {
+		return nil
+	}
+	if _, ok := p.call.Error.(rpc.ServerError); ok {
+		return p.call.Error
 	}
+	p.link.drop(p.client)
+	return errors.Wrapf(ErrTimeout, "%s at %s: %v", method, addr, p.call.Error)
 }
 
 // Close closes all connections. Calls in progress fail.
@@ -237,19 +252,19 @@
 	}
 }
 
-// restore makes client, which was detached, the connection for the next calls of l, unless there is another one or m is closed. client
-// is closed then.
-func (m *Messenger) restore(l *link, client *rpc.Client, conn *watchedConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// restore makes the connection of p, which was detached, that for the next calls, unless there is another one or m is closed. It is
+// closed then.
+func (m *Messenger) restore(p *pending) {
+	p.link.mu.Lock()
+	defer p.link.mu.Unlock()
 	m.mu.Lock()
 	closed := m.closed
 	m.mu.Unlock()
-	if closed || l.client != nil {
-		_ = client.Close()
+	if closed || p.link.client != nil {
+		_ = p.client.Close()
 		return
 	}
-	l.client, l.conn = client, conn
+	p.link.client, p.link.conn = p.client, p.conn
 }
 
 // dial opens and authenticates a connection to addr.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -88,3 +88,33 @@
 	c.Assert(m.Call(context.Background(), addr, "Echo.Echo", "again", &reply), qt.IsNil)
 	c.Assert(reply, qt.Equals, "again")
 }
+
+// Guards against a call that is given up although its answer is on its way, and against other calls that wait behind it.
+func TestStalledCallGoesOn(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	e := &echo{
+		release: make(chan struct{}),
+	}
+	l := &Listener{}
+	c.Assert(l.Register("Echo", e), qt.IsNil)
+	l.Start(ln)
+	defer func() { _ = l.Close() }()
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	m := &Messenger{}
+	defer func() { _ = m.Close() }()
+	stalled, done := make(chan struct{}), make(chan error, 1)
+	var late string
+	go func() {
+		done <- m.CallLarge(context.Background(), addr, 50*time.Millisecond, func() { close(stalled) }, "Echo.Hang", "", &late)
+	}()
+	<-stalled
+	var reply string
+	c.Assert(m.Call(context.Background(), addr, "Echo.Echo", "meanwhile", &reply), qt.IsNil)
+	c.Assert(reply, qt.Equals, "meanwhile")
+	close(e.release)
+	c.Assert(<-done, qt.IsNil)
+	c.Assert(m.Call(context.Background(), addr, "Echo.Echo", "after", &reply), qt.IsNil)
+	c.Assert(reply, qt.Equals, "after")
+}
