--- a/controller/feed.go
+++ b/controller/feed.go
@@ -32,8 +32,10 @@
 type feed struct {
 	mu    sync.Mutex
 	state *applier.State
-	// baseIndex is the log index after which commands holds every command; totalBytes is the size of commands.
+	// baseIndex is the log index after which commands holds every command, and baseAt a time by which this host had applied the log
+	// up to there; totalBytes is the size of commands.
 	baseIndex  uint64
+	baseAt     time.Time
 	commands   []appliedCommand
 	totalBytes int
 	// notify is closed and replaced when a state is published.
@@ -50,6 +52,7 @@
 	return &feed{
 		state:     state,
 		baseIndex: state.Index,
+		baseAt:    timekeeper.Now(),
 		notify:    make(chan struct{}),
 	}
 }
@@ -78,7 +81,7 @@
 	dropped := 0
 	for dropped < len(f.commands) && (len(f.commands)-dropped > maxFeedCommands || f.totalBytes > maxFeedBytes) {
 		f.totalBytes -= len(f.commands[dropped].data)
-		f.baseIndex = f.commands[dropped].index
+		f.baseIndex, f.baseAt = f.commands[dropped].index, f.commands[dropped].at
 		dropped++
 	}
 	if dropped > 0 {
@@ -92,7 +95,7 @@
 // reset sets a state to which the commands of the feed do not lead, and drops them.
 func (f *feed) reset(state *applier.State) {
 	f.mu.Lock()
-	f.commands, f.totalBytes, f.baseIndex = nil, 0, state.Index
+	f.commands, f.totalBytes, f.baseIndex, f.baseAt = nil, 0, state.Index, timekeeper.Now()
 	f.mu.Unlock()
 	f.publish(state, nil)
 }
@@ -138,8 +141,8 @@
 	return commands, to, true
 }
 
-// appliedAt returns when the command at index was applied: the zero time if the feed no longer holds it, and the present time if it is
-// yet to come.
+// appliedAt returns a time by which this host had applied the command at index, or the present time if it is yet to come. For a
+// command that came with a snapshot, that is the time of the snapshot: when the command was committed is not known.
 func (f *feed) appliedAt(index uint64) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -148,7 +151,7 @@
 	case index > f.state.Index:
 		return timekeeper.Now()
 	case index <= f.baseIndex || i == len(f.commands):
-		return time.Time{}
+		return f.baseAt
 	}
 	return f.commands[i].at
 }
--- a/controller/feed_test.go
+++ b/controller/feed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"bramleyline.example/bramleyline/applier"
+	"bramleyline.example/bramleyline/timekeeper"
 )
 
 // Guards against a gap in the commands that a host gets. A host that is further behind than the retained commands must
@@ -87,3 +89,34 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(index, qt.Equals, uint64(610))
 }
+
+// Guards against an acknowledgement that does not wait for other hosts because its change came with a snapshot, so that it seems to be
+// of long ago.
+func TestTimeOfAppliedCommands(t *testing.T) {
+	c := qt.New(t)
+	before := timekeeper.Now()
+	f := newFeed(&applier.State{
+		Index: 5,
+	})
+	c.Check(f.appliedAt(5).Before(before), qt.IsFalse, qt.Commentf("a command in a snapshot"))
+	applied := before.Add(-time.Minute)
+	f.publish(&applier.State{
+		Index: 7,
+	}, []appliedCommand{
+		{
+			index: 6,
+			at:    applied,
+		},
+		{
+			index: 7,
+			at:    applied.Add(time.Second),
+		},
+	})
+	c.Check(f.appliedAt(6), qt.Equals, applied)
+	c.Check(f.appliedAt(7), qt.Equals, applied.Add(time.Second))
+	c.Check(f.appliedAt(8).Before(before), qt.IsFalse, qt.Commentf("a command that is yet to come"))
+	f.reset(&applier.State{
+		Index: 9,
+	})
+	c.Check(f.appliedAt(7).Before(before), qt.IsFalse, qt.Commentf("a command in a later snapshot"))
+}
--- a/controller/readers.go
+++ b/controller/readers.go
@@ -32,8 +32,7 @@
 	return &c.readers
 }
 
-// AppliedAt returns when this host applied the command at a log index: the zero time if that is long ago, and the present time if it
-// has not.
+// AppliedAt returns a time by which this host had applied the command at a log index, or the present time if it has not.
 func (c *Controller) AppliedAt(index uint64) time.Time {
 	return c.feed.appliedAt(index)
 }
--- a/forwarder/validity.go
+++ b/forwarder/validity.go
@@ -23,7 +23,8 @@
 var errNotHealthy = errors.New("target does not confirm that it takes requests")
 
 // fresh reports whether the request may go to t as far as the age of what this host knows is concerned: if the departure of t is
-// acknowledged without this host's knowledge, that was a short time ago.
+// acknowledged without this host's knowledge, that was a short time ago. Nothing can confirm the targets of a service without a health
+// path, so their requests are sent however old the view is.
 func (x *exchange) fresh(t *viewer.Target) bool {
 	v := x.f.opts.Validity
 	if v == nil || x.service.HealthPath == "" {
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -33,7 +33,7 @@
 	// unlimitedBytes is a total size of commands up to which sources of older versions cut no answer off.
 	unlimitedBytes = 512 << 10
 	// leaveTimeout bounds the last call of a host that stops.
-	leaveTimeout = 100 * time.Millisecond
+	leaveTimeout = 50 * time.Millisecond
 	// callTimeout bounds one call as a whole.
 	callTimeout = 20 * time.Second
 	// retryDelay is the pause after all sources were tried. It keeps a host from calling unreachable sources in a tight
@@ -91,7 +91,7 @@
 	arrival   Arrival
 	// answeredAt is when a source last answered a pull.
 	answeredAt time.Time
-	// failed counts the calls that failed since then.
+	// failed is the number of calls that have failed since answeredAt.
 	failed int
 	// confirmed is what Confirmed returns.
 	confirmed bool
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -57,7 +57,7 @@
 	meanStrandGap = 4 * time.Second
 	minPoisonTime = 6 * time.Second
 	// meanDepartureGap is the mean time between the steps that departureSteps draws, and minHoldTime the least time for which news
-	// is held: with the half second after which a target drains, longer than the drain time.
+	// is held back. A target drains in the first second of it, so the drain time ends before it does.
 	meanDepartureGap = 4 * time.Second
 	minHoldTime      = 3 * time.Second
 	// minLimitTime is the least time for which a target states a limit: longer than the contact time and the window of the
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -133,6 +133,8 @@
 	13,
 	// A request that had crashed three targets came back at hosts that had started meanwhile.
 	401,
+	// Hosts that heard nothing from control hosts sent to a target that had left.
+	5001,
 }
 
 // Guards against the faults behind regressionSeeds: runs their plans against real processes. It fails only if an
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -36,8 +36,9 @@
 
 // learned tells when a change was committed and became known.
 type learned struct {
-	// at is when this host learned of it, after the latest time, of timekeeper, at which it was certainly not yet committed.
-	at    time.Time
+	// at is when this host learned of it.
+	at time.Time
+	// after is the latest time, of timekeeper, at which it was certainly not committed yet.
 	after time.Time
 }
 
