--- a/puller/puller.go
+++ b/puller/puller.go
@@ -4,16 +4,12 @@
 package puller
 
 import (
-	"cmp"
 	"context"
 	"expvar"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
@@ -293,97 +289,6 @@
 	return p.ctx.Err()
 }
 
-// call pulls from s once. It returns errLate if nothing has arrived for stallTimeout longer than s may wait. The call goes on then: its
-// answer may be held up by a congested link. Its late answer is taken, too, and ends the calls of other sources with errLateAnswer.
-func (p *Puller) call(s Source) error {
-	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-	late, result := make(chan struct{}), make(chan error, 1)
-	p.calls.Go(func() {
-		defer cancel()
-		err := p.pull(ctx, s, func() { close(late) })
-		result <- err
-		select {
-		case <-late:
-			p.lateCallEnded(s, err)
-		default:
-		}
-	})
-	select {
-	case err := <-result:
-		return err
-	case <-late:
-		p.keepLate(s, cancel)
-		return errLate
-	case <-p.lateAnswer:
-		return errLateAnswer
-	}
-}
-
-// keepLate ends the earlier late call of s, if there is one: there is at most one for each source.
-func (p *Puller) keepLate(s Source, cancel context.CancelFunc) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if earlier, ok := p.late[s.Addr]; ok {
-		earlier()
-	}
-	if p.late == nil {
-		p.late = make(map[netip.AddrPort]context.CancelFunc)
-	}
-	p.late[s.Addr] = cancel
-}
-
-// lateCallEnded takes s as the source again if its late call was answered.
-func (p *Puller) lateCallEnded(s Source, err error) {
-	if err != nil {
-		return
-	}
-	counters.Add("lateAnswers", 1)
-	p.mu.Lock()
-	delete(p.late, s.Addr)
-	if p.avoided == s.Addr {
-		p.avoided = netip.AddrPort{}
-	}
-	p.mu.Unlock()
-	p.sourceAnswered(s)
-	select {
-	case p.lateAnswer <- struct{}{}:
-	default:
-	}
-}
-
-// sourceFailed logs that the source in use failed and avoids it for avoidDuration. It does nothing for another source.
-func (p *Puller) sourceFailed(s Source, err error) {
-	p.mu.Lock()
-	p.failed++
-	inUse := p.source == s.Addr
-	if inUse {
-		p.source = netip.AddrPort{}
-		p.avoided, p.avoidedUntil = s.Addr, timekeeper.Now().Add(avoidDuration)
-	}
-	p.mu.Unlock()
-	if inUse && p.log != nil {
-		p.log.Warn("lost the source of state", "source", s.Addr, "index", p.State().Index, "answeredBefore",
-			p.Silence().Milliseconds(), "err", err)
-	}
-}
-
-// sourceAnswered makes s the source in use and logs a change.
-func (p *Puller) sourceAnswered(s Source) {
-	p.mu.Lock()
-	now := timekeeper.Now()
-	silence := now.Sub(p.answeredAt)
-	if p.answeredAt.IsZero() {
-		silence = 0
-	}
-	p.answeredAt = now
-	old, failed := p.source, p.failed
-	p.source, p.failed = s.Addr, 0
-	p.mu.Unlock()
-	if old != s.Addr && p.log != nil {
-		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index, "silence", silence.Milliseconds(), "failedCalls", failed)
-	}
-}
-
 // throttle delays the next pull after one that began at started and returned a newer state. In a deployment with many
 // hosts the state changes all the time, and a source that answers each host for each change has no time for anything
 // else.
@@ -395,64 +300,6 @@
 	}
 }
 
-// hasNearer reports whether there are sources in the preferred data centre and s is not one of them.
-func (p *Puller) hasNearer(s Source) bool {
-	near := p.nearSources()
-	return len(near) > 0 && !slices.ContainsFunc(near, func(n Source) bool { return n.Addr == s.Addr })
-}
-
-// nearSources returns the control hosts in the preferred data centre in the order of rank, without one that failed
-// lately.
-func (p *Puller) nearSources() []Source {
-	st := p.State()
-	p.mu.Lock()
-	avoided, avoidedUntil := p.avoided, p.avoidedUntil
-	p.mu.Unlock()
-	var sources []Source
-	for _, name := range st.Members() {
-		h := st.Hosts[name]
-		failed := h.RPC == avoided && timekeeper.Now().Before(avoidedUntil)
-		if p.dataCentre != "" && h.DataCentre == p.dataCentre && h.RPC.IsValid() && !failed {
-			sources = append(sources, Source{
-				Name: name,
-				Addr: h.RPC,
-			})
-		}
-	}
-	slices.SortStableFunc(sources, func(a, b Source) int { return cmp.Compare(p.rank(a), p.rank(b)) })
-	return sources
-}
-
-// rank returns a hash by which each host orders the sources of its data centre differently. Without a name all sources
-// are equal.
-func (p *Puller) rank(s Source) uint64 {
-	if p.name == "" {
-		return 0
-	}
-	return xxhash.Sum64String(p.name + s.Name)
-}
-
-// candidates returns the control hosts of the preferred data centre, then the configured sources, and then the control
-// hosts in the state that are not configured: after replacements none of the configured sources may be left.
-func (p *Puller) candidates() []Source {
-	p.mu.Lock()
-	configured := p.sources
-	p.mu.Unlock()
-	sources := append(p.nearSources(), configured...)
-	hosts := p.State().Hosts
-	for _, name := range slices.Sorted(maps.Keys(hosts)) {
-		h := hosts[name]
-		known := slices.ContainsFunc(configured, func(s Source) bool { return s.Name == name && s.Addr == h.RPC })
-		if h.Control && h.RPC.IsValid() && !known {
-			sources = append(sources, Source{
-				Name: name,
-				Addr: h.RPC,
-			})
-		}
-	}
-	return sources
-}
-
 // pull makes one call to s and applies the answer. It calls stalled once if the answer is late. After an error another source should
 // be tried; the state may be newer even then.
 func (p *Puller) pull(ctx context.Context, s Source, stalled func()) error {
--- /dev/null
+++ b/puller/source.go
@@ -0,0 +1,103 @@
+package puller
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleyline.example/bramleyline/timekeeper"
+)
+
+// sourceFailed logs that the source in use failed and avoids it for avoidDuration. It does nothing for another source.
+func (p *Puller) sourceFailed(s Source, err error) {
+	p.mu.Lock()
+	p.failed++
+	inUse := p.source == s.Addr
+	if inUse {
+		p.source = netip.AddrPort{}
+		p.avoided, p.avoidedUntil = s.Addr, timekeeper.Now().Add(avoidDuration)
+	}
+	p.mu.Unlock()
+	if inUse && p.log != nil {
+		p.log.Warn("lost the source of state", "source", s.Addr, "index", p.State().Index, "answeredBefore",
+			p.Silence().Milliseconds(), "err", err)
+	}
+}
+
+// sourceAnswered makes s the source in use and logs a change.
+func (p *Puller) sourceAnswered(s Source) {
+	p.mu.Lock()
+	now := timekeeper.Now()
+	silence := now.Sub(p.answeredAt)
+	if p.answeredAt.IsZero() {
+		silence = 0
+	}
+	p.answeredAt = now
+	old, failed := p.source, p.failed
+	p.source, p.failed = s.Addr, 0
+	p.mu.Unlock()
+	if old != s.Addr && p.log != nil {
+		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index, "silence", silence.Milliseconds(), "failedCalls", failed)
+	}
+}
+
+// hasNearer reports whether there are sources in the preferred data centre and s is not one of them.
+func (p *Puller) hasNearer(s Source) bool {
+	near := p.nearSources()
+	return len(near) > 0 && !slices.ContainsFunc(near, func(n Source) bool { return n.Addr == s.Addr })
+}
+
+// nearSources returns the control hosts in the preferred data centre in the order of rank, without one that failed
+// lately.
+func (p *Puller) nearSources() []Source {
+	st := p.State()
+	p.mu.Lock()
+	avoided, avoidedUntil := p.avoided, p.avoidedUntil
+	p.mu.Unlock()
+	var sources []Source
+	for _, name := range st.Members() {
+		h := st.Hosts[name]
+		failed := h.RPC == avoided && timekeeper.Now().Before(avoidedUntil)
+		if p.dataCentre != "" && h.DataCentre == p.dataCentre && h.RPC.IsValid() && !failed {
+			sources = append(sources, Source{
+				Name: name,
+				Addr: h.RPC,
+			})
+		}
+	}
+	slices.SortStableFunc(sources, func(a, b Source) int { return cmp.Compare(p.rank(a), p.rank(b)) })
+	return sources
+}
+
+// rank returns a hash by which each host orders the sources of its data centre differently. Without a name all sources
+// are equal.
+func (p *Puller) rank(s Source) uint64 {
+	if p.name == "" {
+		return 0
+	}
+	return xxhash.Sum64String(p.name + s.Name)
+}
+
+// candidates returns the control hosts of the preferred data centre, then the configured sources, and then the control
+// hosts in the state that are not configured: after replacements none of the configured sources may be left.
+func (p *Puller) candidates() []Source {
+	p.mu.Lock()
+	configured := p.sources
+	p.mu.Unlock()
+	sources := append(p.nearSources(), configured...)
+	hosts := p.State().Hosts
+	for _, name := range slices.Sorted(maps.Keys(hosts)) {
+		h := hosts[name]
+		known := slices.ContainsFunc(configured, func(s Source) bool { return s.Name == name && s.Addr == h.RPC })
+		if h.Control && h.RPC.IsValid() && !known {
+			sources = append(sources, Source{
+				Name: name,
+				Addr: h.RPC,
+			})
+		}
+	}
+	return sources
+}
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -32,8 +32,8 @@
 	kindLimit   = "limit"         // a target states limits in its answers
 	kindPoison  = "poison"        // callers send a request that crashes the targets that run it
 	kindStrand  = "strand"        // an entry host loses its links to all targets
-	// kindHoldNews holds back what an entry host hears from control hosts.
-	kindHoldNews = "holdNews"
+	// kindHoldUpdates holds back what an entry host hears from control hosts.
+	kindHoldUpdates = "holdUpdates"
 )
 
 const (
@@ -56,8 +56,8 @@
 	meanPoisonGap = 8 * time.Second
 	meanStrandGap = 4 * time.Second
 	minPoisonTime = 6 * time.Second
-	// meanDepartureGap is the mean time between the steps that departureSteps draws, and minHoldTime the least time for which news
-	// is held back. A target drains in the first second of it, so the drain time ends before it does.
+	// meanDepartureGap is the mean time between the steps that departureSteps draws, and minHoldTime the least time for which updates
+	// are held back. A target drains in the first second of it, so the drain time ends before it does.
 	meanDepartureGap = 4 * time.Second
 	minHoldTime      = 3 * time.Second
 	// minLimitTime is the least time for which a target states a limit: longer than the contact time and the window of the
@@ -253,7 +253,7 @@
 	for offset := maxStepGap; offset < length; offset += time.Duration(rng.Int64N(int64(2 * meanDepartureGap))) {
 		hold := step{
 			offset:   offset,
-			kind:     kindHoldNews,
+			kind:     kindHoldUpdates,
 			duration: minHoldTime + time.Duration(rng.Int64N(int64(maxRandomDuration))),
 		}
 		first, n := rng.IntN(entries), 1
--- a/viewer/builder.go
+++ b/viewer/builder.go
@@ -51,17 +51,17 @@
 
 func (b *Builder) addPools(v *View, s *applier.State, now time.Time) {
 	last := b.last
-	news := learned{
+	change := learned{
 		at:    now,
 		after: timekeeper.Now(),
 	}
 	if b.LastCurrent != nil {
-		news.after = b.LastCurrent()
+		change.after = b.LastCurrent()
 	}
 	v.snapshot = &snapshot{
 		registry:      s.Registry,
-		outSince:      outSince(last.snapshot, s, news),
-		drainingSince: drainingSince(last.snapshot, last.Index, s.Registry, news),
+		outSince:      outSince(last.snapshot, s, change),
+		drainingSince: drainingSince(last.snapshot, last.Index, s.Registry, change),
 	}
 	sameOut := last.snapshot != nil && maps.Equal(last.snapshot.outSince, v.snapshot.outSince)
 	for name, svc := range v.Table.Services {
@@ -91,14 +91,15 @@
 	}
 }
 
-// outSince returns the data centres that operators have taken out. Those that the last snapshot lacks are news.
-func outSince(last *snapshot, s *applier.State, news learned) map[string]learned {
+// outSince returns the data centres that operators have taken out. change tells when this host learned of those that the last snapshot
+// lacks.
+func outSince(last *snapshot, s *applier.State, change learned) map[string]learned {
 	out := make(map[string]learned)
 	for name, dc := range s.DataCentres {
 		if !dc.Out {
 			continue
 		}
-		out[name] = news
+		out[name] = change
 		if last != nil {
 			if at, ok := last.outSince[name]; ok {
 				out[name] = at
@@ -108,8 +109,9 @@
 	return out
 }
 
-// drainingSince returns the incarnations that drain. Those that last, the snapshot at log index lastIndex, lacks are news.
-func drainingSince(last *snapshot, lastIndex uint64, reg registrar.Registry, news learned) map[registrar.Incarnation]learned {
+// drainingSince returns the incarnations that drain. change tells when this host learned of those that last, the snapshot at log index
+// lastIndex, lacks.
+func drainingSince(last *snapshot, lastIndex uint64, reg registrar.Registry, change learned) map[registrar.Incarnation]learned {
 	var draining map[registrar.Incarnation]learned
 	if last == nil {
 		lastIndex = 0
@@ -127,7 +129,7 @@
 	}
 	for t := range reg.ChangedSince(lastIndex) {
 		if _, ok := next[t.Incarnation]; t.Draining && !ok {
-			next[t.Incarnation] = news
+			next[t.Incarnation] = change
 		}
 	}
 	return next
