Log which limit ended the wait for hosts, and for whom it was

Cause: for an order without an acknowledgement, the logs did not tell when and how often it was received, whether readers or control hosts were behind, or which limit ended a wait; waits that ended well left no line. The logic is as before.

--- a/awaiter/awaiter.go
+++ b/awaiter/awaiter.go
@@ -53,54 +53,98 @@
 // Await waits until all readers in touch have confirmed index, at most until limit after this host applied it: a reader that cannot be
 // reached must not keep orders from being acknowledged. It returns ErrBehind if ctx ends first.
 func (a *Awaiter) Await(ctx context.Context, index uint64, limit time.Duration) error {
-	until := a.Log.AppliedAt(index).Add(limit)
+	applied := a.Log.AppliedAt(index)
+	until := applied.Add(limit)
 	began := timekeeper.Now()
-	var behind []string
+	var l laggards
 	for {
 		left := until.Sub(timekeeper.Now())
 		if left <= 0 {
-			if len(behind) > 0 {
+			if !l.none() {
 				counters.Add("early", 1)
-				a.logEarly(index, behind)
+				a.logWait(endLimit, index, began, applied, l)
 			}
 			return nil
 		}
-		if behind = a.round(ctx, index, behind, min(left, roundTime)); len(behind) == 0 {
+		if l = a.round(ctx, index, l.readers, min(left, roundTime)); l.none() {
 			if timekeeper.Since(began) >= roundTime {
 				counters.Add("delayed", 1)
+				a.logWait(endInForce, index, began, applied, l)
 			}
 			return nil
 		}
 		if ctx.Err() != nil {
-			return errors.Wrapf(ErrBehind, "%d hosts, %s among them", len(behind), behind[0])
+			a.logWait(endCall, index, began, applied, l)
+			return errors.Wrapf(ErrBehind, "%d hosts, %s among them", len(l.readers)+len(l.controls), l.first())
 		}
 	}
 }
 
-func (a *Awaiter) logEarly(index uint64, behind []string) {
-	if a.Logger != nil {
-		a.Logger.Warn("acknowledged before a change is in force at all hosts", "index", index, "behind", len(behind), "first", behind[0])
+// The ways in which a wait ends, for the log.
+const (
+	endInForce = "inForce"
+	endLimit   = "limit"
+	endCall    = "call"
+)
+
+// logWait logs the end of a wait that began at began, for a change that this host applied at applied: what ended it, and who was behind.
+func (a *Awaiter) logWait(end string, index uint64, began, applied time.Time, l laggards) {
+	if a.Logger == nil {
+		return
+	}
+	now := timekeeper.Now()
+	a.Logger.Info("waited for hosts", "end", end, "index", index, "waited", now.Sub(began).Milliseconds(),
+		"sinceApplied", now.Sub(applied).Milliseconds(), "readers", len(l.readers), "controls", len(l.controls), "first", l.first())
+}
+
+// laggards are the hosts that have not confirmed a change.
+type laggards struct {
+	// readers are hosts that pull their state, and controls the control hosts that do not tell of their readers.
+	readers  []string
+	controls []string
+}
+
+func (l laggards) none() bool {
+	return len(l.readers) == 0 && len(l.controls) == 0
+}
+
+// first returns one of the names, of a control host if there is one, and an empty text if there are none.
+func (l laggards) first() string {
+	for _, name := range slices.Concat(l.controls, l.readers) {
+		return name
 	}
+	return ""
 }
 
 // round asks all control hosts, this one among them, at the same time. It returns the readers that are behind, as far as no control host
 // knows better, and the control hosts that do not answer.
-func (a *Awaiter) round(ctx context.Context, index uint64, known []string, wait time.Duration) []string {
+func (a *Awaiter) round(ctx context.Context, index uint64, known []string, wait time.Duration) laggards {
 	var mu sync.Mutex
-	var behind, confirmed []string
-	add := func(b, c []string) {
-		mu.Lock()
-		defer mu.Unlock()
-		behind, confirmed = append(behind, b...), append(confirmed, c...)
-	}
+	var l laggards
+	var confirmed []string
 	var wg sync.WaitGroup
 	for name, addr := range a.Peers() {
-		wg.Go(func() { add(a.ask(ctx, name, addr, index, known, wait)) })
+		wg.Go(func() {
+			b, c, ok := a.ask(ctx, addr, index, known, wait)
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				l.controls = append(l.controls, name)
+			}
+			l.readers, confirmed = append(l.readers, b...), append(confirmed, c...)
+		})
 	}
-	wg.Go(func() { add(a.local(ctx, index, known, wait)) })
+	wg.Go(func() {
+		b, c := a.local(ctx, index, known, wait)
+		mu.Lock()
+		defer mu.Unlock()
+		l.readers, confirmed = append(l.readers, b...), append(confirmed, c...)
+	})
 	wg.Wait()
-	slices.Sort(behind)
-	return slices.DeleteFunc(slices.Compact(behind), func(name string) bool { return slices.Contains(confirmed, name) })
+	slices.Sort(l.controls)
+	slices.Sort(l.readers)
+	l.readers = slices.DeleteFunc(slices.Compact(l.readers), func(name string) bool { return slices.Contains(confirmed, name) })
+	return l
 }
 
 // local waits for the readers of this host.
@@ -124,10 +168,11 @@
 	}
 }
 
-// ask asks one other control host. One of an older version does not know its readers, and is not waited for.
+// ask asks one other control host, and reports whether it has answered. One of an older version does not know its readers, and is not
+// waited for.
 func (a *Awaiter) ask(
-	ctx context.Context, name string, addr netip.AddrPort, index uint64, known []string, wait time.Duration,
-) (behind, confirmed []string) {
+	ctx context.Context, addr netip.AddrPort, index uint64, known []string, wait time.Duration,
+) (behind, confirmed []string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait+roundMargin)
 	defer cancel()
 	var reply controller.BehindReply
@@ -137,7 +182,7 @@
 		Names: known,
 	}, &reply)
 	if answer := rpc.ServerError(""); errors.As(err, &answer) {
-		return nil, nil
+		return nil, nil, true
 	}
 	if err != nil {
 		// Its readers are not known. They may pull from another control host soon.
@@ -145,7 +190,7 @@
 		case <-ctx.Done():
 		case <-time.After(wait):
 		}
-		return []string{name}, nil
+		return nil, nil, false
 	}
-	return reply.Behind, reply.Confirmed
+	return reply.Behind, reply.Confirmed, true
 }
