Acknowledge orders within the call although a host is silent

A control host that does not answer was waited for like a reader, without a lease, so each order waited for the whole limit of 2.5 s. The wait came in calls of 0.8 s that ended with 503. After each, the operator backs off longer and draws a control host anew; some tries meet the silent one, some acknowledgements are lost. Change: the wait ends with the call. The sender waits for a second, so no try is lost. Control hosts that the leader has not heard of for 3 s are not waited for: their readers have gone to others by then, or are out of touch.

--- a/awaiter/awaiter.go
+++ b/awaiter/awaiter.go
@@ -1,14 +1,14 @@
-// Package awaiter is the barrier of synchronous replication: it holds an acknowledgement back until the change that it confirms is in
-// force at all readers of the log, of whichever control host they are, or as far as it may be held back.
+// Package awaiter is the barrier of semi-synchronous replication: it holds an acknowledgement back for a bounded time, until the change that
+// it confirms is in force at all readers of the log, of whichever control host they are.
 package awaiter
 
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net/netip"
 	"net/rpc"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -27,17 +27,24 @@
 	roundMargin = 250 * time.Millisecond
 )
 
+// The ways in which a wait ends, for the log: the change is in force at all readers, or the limit of the change or of the call is reached.
+const (
+	endInForce = "inForce"
+	endLimit   = "limit"
+	endCall    = "call"
+)
+
 // counters are acknowledgements that had to wait, and those that were given though some readers were behind.
 var counters = expvar.NewMap("awaiter")
 
-// ErrBehind reports that the change is not in force at all readers yet.
-var ErrBehind = errors.New("change is not in force at all hosts yet")
-
-// Log tells about the log and the readers of this host.
+// Log tells about the log, the readers of this host, and the control group.
 type Log interface {
 	Readers() *confirmer.Confirmer
 	// AppliedAt returns when this host applied a log index.
 	AppliedAt(index uint64) time.Time
+	// Silent returns the control hosts that have not answered this host for longer than a reader counts as in touch, nil unless this
+	// host leads.
+	Silent() []string
 }
 
 // Awaiter asks the control hosts for their readers. Log and Peers are required.
@@ -50,43 +57,33 @@
 	Logger *log.Logger
 }
 
-// Await waits until all readers in touch have confirmed index, at most until limit after this host applied it: a reader that cannot be
-// reached must not keep orders from being acknowledged. It returns ErrBehind if ctx ends first.
-func (a *Awaiter) Await(ctx context.Context, index uint64, limit time.Duration) error {
-	applied := a.Log.AppliedAt(index)
-	until := applied.Add(limit)
-	began := timekeeper.Now()
+// Await waits until all readers in touch have confirmed index, at most until limit after this host applied it or until ctx ends: a host
+// that cannot be reached must not keep orders from being acknowledged. The change is committed in any case, and a reader that is behind
+// has the time after the acknowledgement to catch up.
+func (a *Awaiter) Await(ctx context.Context, index uint64, limit time.Duration) {
+	began, applied := timekeeper.Now(), a.Log.AppliedAt(index)
+	waitCtx, cancel := context.WithTimeout(ctx, applied.Add(limit).Sub(began))
+	defer cancel()
 	var l laggards
-	for {
-		left := until.Sub(timekeeper.Now())
-		if left <= 0 {
-			if !l.none() {
-				counters.Add("early", 1)
-				a.logWait(endLimit, index, began, applied, l)
-			}
-			return nil
-		}
-		if l = a.round(ctx, index, l.readers, min(left, roundTime)); l.none() {
+	for waitCtx.Err() == nil {
+		if l = a.round(waitCtx, index, l.readers); l.none() {
 			if timekeeper.Since(began) >= roundTime {
 				counters.Add("delayed", 1)
 				a.logWait(endInForce, index, began, applied, l)
 			}
-			return nil
-		}
-		if ctx.Err() != nil {
-			a.logWait(endCall, index, began, applied, l)
-			return errors.Wrapf(ErrBehind, "%d hosts, %s among them", len(l.readers)+len(l.controls), l.first())
+			return
 		}
 	}
+	end := endLimit
+	if ctx.Err() != nil {
+		end = endCall
+	}
+	if !l.none() {
+		counters.Add("early", 1)
+		a.logWait(end, index, began, applied, l)
+	}
 }
 
-// The ways in which a wait ends, for the log.
-const (
-	endInForce = "inForce"
-	endLimit   = "limit"
-	endCall    = "call"
-)
-
 // logWait logs the end of a wait that began at began, for a change that this host applied at applied: what ended it, and who was behind.
 func (a *Awaiter) logWait(end string, index uint64, began, applied time.Time, l laggards) {
 	if a.Logger == nil {
@@ -116,81 +113,95 @@
 	return ""
 }
 
+// answer is what a control host tells of its readers.
+type answer struct {
+	name string
+	controller.BehindReply
+}
+
 // round asks all control hosts, this one among them, at the same time. It returns the readers that are behind, as far as no control host
-// knows better, and the control hosts that do not answer.
-func (a *Awaiter) round(ctx context.Context, index uint64, known []string, wait time.Duration) laggards {
-	var mu sync.Mutex
-	var l laggards
-	var confirmed []string
-	var wg sync.WaitGroup
-	for name, addr := range a.Peers() {
-		wg.Go(func() {
-			b, c, ok := a.ask(ctx, addr, index, known, wait)
-			mu.Lock()
-			defer mu.Unlock()
-			if !ok {
-				l.controls = append(l.controls, name)
+// knows better, and the control hosts that do not answer. The readers of a control host that is silent to the leader have left it by now, or
+// are out of touch as well.
+func (a *Awaiter) round(ctx context.Context, index uint64, known []string) laggards {
+	ctx, cancel := context.WithTimeout(ctx, roundTime+roundMargin)
+	defer cancel()
+	peers := a.Peers()
+	// With room for all answers, nobody waits for a call that outlasts the round.
+	answers := make(chan answer, len(peers)+1)
+	missing := map[string]bool{
+		"": true,
+	}
+	go func() { answers <- a.local(ctx, index, known) }()
+	for name, addr := range peers {
+		missing[name] = true
+		go func() {
+			if reply, ok := a.ask(ctx, addr, index, known); ok {
+				answers <- answer{
+					name:        name,
+					BehindReply: reply,
+				}
+			}
+		}()
+	}
+	var behind, confirmed []string
+	for len(missing) > 0 {
+		select {
+		case ans := <-answers:
+			delete(missing, ans.name)
+			for _, name := range ans.Silent {
+				delete(missing, name)
 			}
-			l.readers, confirmed = append(l.readers, b...), append(confirmed, c...)
-		})
+			behind, confirmed = append(behind, ans.Behind...), append(confirmed, ans.Confirmed...)
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	delete(missing, "")
+	slices.Sort(behind)
+	return laggards{
+		readers:  slices.DeleteFunc(slices.Compact(behind), func(name string) bool { return slices.Contains(confirmed, name) }),
+		controls: slices.Sorted(maps.Keys(missing)),
 	}
-	wg.Go(func() {
-		b, c := a.local(ctx, index, known, wait)
-		mu.Lock()
-		defer mu.Unlock()
-		l.readers, confirmed = append(l.readers, b...), append(confirmed, c...)
-	})
-	wg.Wait()
-	slices.Sort(l.controls)
-	slices.Sort(l.readers)
-	l.readers = slices.DeleteFunc(slices.Compact(l.readers), func(name string) bool { return slices.Contains(confirmed, name) })
-	return l
 }
 
 // local waits for the readers of this host.
-func (a *Awaiter) local(ctx context.Context, index uint64, known []string, wait time.Duration) (behind, confirmed []string) {
-	timer := time.NewTimer(wait)
+func (a *Awaiter) local(ctx context.Context, index uint64, known []string) answer {
+	timer := time.NewTimer(roundTime)
 	defer timer.Stop()
 	readers := a.Log.Readers()
 	for {
 		changed := readers.Changed()
-		behind, confirmed = readers.Behind(timekeeper.Now(), index), readers.Confirmed(known, index)
-		if len(behind) == 0 {
-			return behind, confirmed
+		ans := answer{
+			BehindReply: controller.BehindReply{
+				Behind:    readers.Behind(timekeeper.Now(), index),
+				Confirmed: readers.Confirmed(known, index),
+				Silent:    a.Log.Silent(),
+			},
+		}
+		if len(ans.Behind) == 0 {
+			return ans
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return behind, confirmed
+			return ans
 		case <-ctx.Done():
-			return behind, confirmed
+			return ans
 		}
 	}
 }
 
 // ask asks one other control host, and reports whether it has answered. One of an older version does not know its readers, and is not
 // waited for.
-func (a *Awaiter) ask(
-	ctx context.Context, addr netip.AddrPort, index uint64, known []string, wait time.Duration,
-) (behind, confirmed []string, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, wait+roundMargin)
-	defer cancel()
-	var reply controller.BehindReply
+func (a *Awaiter) ask(ctx context.Context, addr netip.AddrPort, index uint64, known []string) (reply controller.BehindReply, ok bool) {
 	err := a.Messenger.Call(ctx, addr, "State.Behind", &controller.BehindArgs{
 		Index: index,
-		Wait:  wait,
+		Wait:  roundTime,
 		Names: known,
 	}, &reply)
-	if answer := rpc.ServerError(""); errors.As(err, &answer) {
-		return nil, nil, true
-	}
-	if err != nil {
-		// Its readers are not known. They may pull from another control host soon.
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-		return nil, nil, false
+	if ans := rpc.ServerError(""); errors.As(err, &ans) {
+		return controller.BehindReply{}, true
 	}
-	return reply.Behind, reply.Confirmed, true
+	return reply, err == nil
 }
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -34,13 +34,9 @@
 	// senderCheckTime is how long such an order is held before it is proposed. A host that was frozen reads orders whose senders
 	// have left long ago; in this time it reads that they have closed their connections, too.
 	senderCheckTime = 50 * time.Millisecond
-	// inForceTimeout bounds how long one order waits for its change to be in force at all hosts: its sender tries another control
-	// host after a second.
-	inForceTimeout = 800 * time.Millisecond
-	// tableLimit and takeoutLimit bound how long an acknowledgement waits for that in all, from the commit on. Orders for the same
-	// table share that time, and their senders give up after 4 s. A takeout is a new command each time it is sent.
-	tableLimit   = 2500 * time.Millisecond
-	takeoutLimit = 700 * time.Millisecond
+	// inForceTimeout bounds how long an order waits for its change to be in force at all hosts, from its arrival and from the commit
+	// on: the acknowledgement has to arrive before its sender tries another control host, after a second, and then comes at once.
+	inForceTimeout = 700 * time.Millisecond
 	// maxTableBytes bounds the decompressed text of a table.
 	maxTableBytes = 64 << 20
 )
@@ -66,9 +62,8 @@
 
 // Barrier waits until a change is in force at all hosts that serve callers.
 type Barrier interface {
-	// Await waits until the log up to index is in force at all of them, at most for limit after it was committed. It returns an
-	// error if ctx ends first.
-	Await(ctx context.Context, index uint64, limit time.Duration) error
+	// Await waits until the log up to index is in force at all of them, at most for limit after it was committed or until ctx ends.
+	Await(ctx context.Context, index uint64, limit time.Duration)
 }
 
 // Committer handles control requests. All fields but Barrier are required.
@@ -157,7 +152,8 @@
 	return nil
 }
 
-// PutTable commits a traffic table, unless one with the same or a higher version is stored already, and waits until it is in force.
+// PutTable commits a traffic table, unless one with the same or a higher version is stored already, and waits for a bounded time until it
+// is in force.
 func (c *Committer) PutTable(ctx context.Context, t *matcher.Table, text []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -168,9 +164,8 @@
 			return err
 		}
 	}
-	return errors.Wrap(c.awaitInForce(ctx, began, tableLimit, stored, func(st *applier.State) uint64 {
-		return st.Registry.Table.Index
-	}), "table")
+	c.awaitInForce(ctx, began, stored, func(st *applier.State) uint64 { return st.Registry.Table.Index })
+	return nil
 }
 
 func (c *Committer) storeTable(ctx context.Context, t *matcher.Table, text []byte) error {
@@ -198,7 +193,7 @@
 	return DecompressTable(d)
 }
 
-// SetOut takes a data centre out of service or restores it.
+// SetOut takes a data centre out of service, and waits for a bounded time until that is in force, or restores it.
 func (c *Committer) SetOut(ctx context.Context, dataCentre string, out bool) error {
 	began, before := time.Now(), c.State.State().Index
 	r, err := c.proposeOrder(ctx, applier.Command{
@@ -210,35 +205,40 @@
 	if err == nil && r.Rejection != "" {
 		err = errors.New(r.Rejection)
 	}
-	if err == nil && out {
-		err = c.awaitInForce(ctx, began, takeoutLimit, func(st *applier.State) bool {
+	if err != nil {
+		return errors.Wrap(err, "takeout")
+	}
+	if out {
+		c.awaitInForce(ctx, began, func(st *applier.State) bool {
 			return st.Index > before && st.DataCentres[dataCentre].Out
 		}, func(st *applier.State) uint64 {
 			return st.Index
 		})
 	}
-	return errors.Wrap(err, "takeout")
+	return nil
 }
 
 // awaitInForce waits until the state of this host has a change that was committed, and then until that is in force at all hosts. index
-// returns a log index by which the change was committed. The order began at began.
+// returns a log index by which the change was committed. The order began at began. Its change is committed, so it is acknowledged however
+// the wait ends: a refusal would only make the sender wait longer before it asks again.
 func (c *Committer) awaitInForce(
-	ctx context.Context, began time.Time, limit time.Duration, has func(*applier.State) bool, index func(*applier.State) uint64,
-) error {
+	ctx context.Context, began time.Time, has func(*applier.State) bool, index func(*applier.State) uint64,
+) {
 	if c.Barrier == nil {
-		return nil
+		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, began.Add(inForceTimeout))
 	defer cancel()
 	for {
 		changed := c.State.Changed()
 		if st := c.State.State(); has(st) {
-			return c.Barrier.Await(ctx, index(st), limit)
+			c.Barrier.Await(ctx, index(st), inForceTimeout)
+			return
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return errors.Wrap(ErrStaleState, "this host has not applied the order")
+			return
 		}
 	}
 }
--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// defaultLease is how long a reader counts as in touch after it was last heard of, if Lease is zero. A reader over a congested link
+// DefaultLease is how long a reader counts as in touch after it was last heard of, if Lease is zero. A reader over a congested link
 // may be silent for some seconds although it serves.
-const defaultLease = 3 * time.Second
+const DefaultLease = 3 * time.Second
 
 // Confirmer keeps the confirmations of readers. The zero value is ready to use. It is safe for concurrent use.
 type Confirmer struct {
-	// Lease is how long a reader counts as in touch after it was last heard of; zero means 3 s.
+	// Lease is how long a reader counts as in touch after it was last heard of; zero means DefaultLease.
 	Lease time.Duration
 
 	mu      sync.Mutex
@@ -73,7 +73,7 @@
 func (c *Confirmer) Behind(now time.Time, index uint64) []string {
 	lease := c.Lease
 	if lease == 0 {
-		lease = defaultLease
+		lease = DefaultLease
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/controller/group_test.go
+++ b/controller/group_test.go
@@ -14,6 +14,7 @@
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
+	"bramleyline.example/bramleyline/confirmer"
 	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/messenger"
 	"bramleyline.example/bramleyline/proposer"
@@ -346,3 +347,30 @@
 		return g.hosts["host3"].State().Index >= g.hosts["host2"].State().Index
 	})
 }
+
+// Guards against acknowledgements that wait for a member that is off: the leader has to name it once its readers have left it or are out of
+// touch, and no longer once it is back.
+func TestLeaderNamesSilentMembers(t *testing.T) {
+	c := qt.New(t)
+	g := startGroup(c, 3)
+	leader := g.leader()
+	var followers []string
+	for name := range g.hosts {
+		if name != leader {
+			followers = append(followers, name)
+		}
+	}
+	off, other := followers[0], followers[1]
+	c.Check(g.hosts[leader].Silent(), qt.HasLen, 0)
+	g.stop(off)
+	stopped := time.Now()
+	g.eventually("silent member", func() bool { return len(g.hosts[leader].Silent()) > 0 })
+	c.Check(g.hosts[leader].Silent(), qt.DeepEquals, []string{off})
+	c.Check(time.Since(stopped) > confirmer.DefaultLease-time.Second, qt.IsTrue, qt.Commentf("after %s", time.Since(stopped)))
+	var reply controller.BehindReply
+	c.Assert(g.client.Call(context.Background(), g.addrs[leader], "State.Behind", &controller.BehindArgs{}, &reply), qt.IsNil)
+	c.Check(reply.Silent, qt.DeepEquals, []string{off})
+	c.Check(g.hosts[other].Silent(), qt.HasLen, 0, qt.Commentf("a member that does not lead"))
+	g.start(off, nil)
+	g.eventually("answer of the member", func() bool { return len(g.hosts[leader].Silent()) == 0 })
+}
--- a/controller/readers.go
+++ b/controller/readers.go
@@ -25,6 +25,9 @@
 	// Behind are the readers of this host that have not confirmed the index, and Confirmed those of the names asked for that have.
 	Behind    []string
 	Confirmed []string
+	// Silent are the members that have not answered this host for longer than a reader counts as in touch, if it leads. Hosts of older
+	// versions leave it empty.
+	Silent []string
 }
 
 // Readers returns the record of the hosts that pull their state from this one.
@@ -32,6 +35,21 @@
 	return &c.readers
 }
 
+// Silent returns the names of the other members that have not answered this host for longer than a reader counts as in touch. It is nil
+// unless this host leads.
+func (c *Controller) Silent() []string {
+	if _, ok := c.Leading(timekeeper.Now()); !ok {
+		return nil
+	}
+	var names []string
+	for _, p := range c.Peers() {
+		if p.SinceAnswered > confirmer.DefaultLease {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
 // AppliedAt returns a time by which this host had applied the command at a log index, or the present time if it has not.
 func (c *Controller) AppliedAt(index uint64) time.Time {
 	return c.feed.appliedAt(index)
@@ -46,6 +64,7 @@
 		changed := readers.Changed()
 		reply.Behind = readers.Behind(timekeeper.Now(), args.Index)
 		reply.Confirmed = readers.Confirmed(args.Names, args.Index)
+		reply.Silent = s.c.Silent()
 		if len(reply.Behind) == 0 {
 			return nil
 		}
