End calls at their deadline while another call opens the connection

Operators saw: answers 0.1 to 0.3 s later than the limit of the call, so after the second for which they wait. Cause: a call took the lock of the link to open its connection, up to 0.5 s for a host that does not answer, and other calls waited for that lock without looking at their own deadlines. The wait for hosts, which asks each control host every quarter of a second, met it in each order. Change: calls wait for the connection that another one opens until their own context ends. Measured: messenger.TestCallEndsAtItsDeadlineWhileAnotherOneDials failed before (0.5 s instead of 0.05 s) and passes, with the race detector too.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -61,6 +61,9 @@
 
 // link is the connection to one address. Calls open it when there is none.
 type link struct {
+	// dialing holds a value while a call opens the connection.
+	dialing chan struct{}
+
 	mu sync.Mutex
 	// client and conn are nil while there is no connection.
 	client *rpc.Client
@@ -191,6 +194,12 @@
 	return nil
 }
 
+func (m *Messenger) isClosed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.closed
+}
+
 // link returns the link to addr, and makes one if there is none.
 func (m *Messenger) link(addr netip.AddrPort) (*link, error) {
 	m.mu.Lock()
@@ -203,32 +212,60 @@
 	}
 	l, ok := m.links[addr]
 	if !ok {
-		l = &link{}
+		l = &link{
+			dialing: make(chan struct{}, 1),
+		}
 		m.links[addr] = l
 	}
 	return l, nil
 }
 
-// connect returns the connection of l, and opens one if there is none.
+// connect returns the connection of l, and opens one if there is none. While another call opens one, it waits for that until ctx ends.
 func (l *link) connect(ctx context.Context, m *Messenger, addr netip.AddrPort) (*rpc.Client, *watchedConn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.client != nil {
-		return l.client, l.conn, nil
+	client, conn, _ := l.current()
+	if client != nil {
+		return client, conn, nil
+	}
+	select {
+	case l.dialing <- struct{}{}:
+		defer func() { <-l.dialing }()
+	case <-ctx.Done():
+		return nil, nil, errors.Wrapf(ErrUnreachable, "dial of %s takes long", addr)
+	}
+	client, conn, dialFailedAt := l.current()
+	if client != nil {
+		return client, conn, nil
 	}
-	if time.Since(l.dialFailedAt) < redialBackoff {
+	if time.Since(dialFailedAt) < redialBackoff {
 		return nil, nil, errors.Wrapf(ErrUnreachable, "dial of %s failed less than %s ago", addr, redialBackoff)
 	}
 	conn, err := m.dial(ctx, addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
 		l.dialFailedAt = time.Now()
 		return nil, nil, err
 	}
-	l.conn = conn
-	l.client = rpc.NewClient(conn)
+	switch {
+	case m.isClosed():
+		_ = conn.Close()
+		return nil, nil, errors.Wrap(ErrUnreachable, "messenger is closed")
+	case l.client != nil:
+		// A detached connection was restored meanwhile.
+		_ = conn.Close()
+	default:
+		l.client, l.conn = rpc.NewClient(conn), conn
+	}
 	return l.client, l.conn, nil
 }
 
+// current returns the connection, nil if there is none, and the time of the last failed dial.
+func (l *link) current() (*rpc.Client, *watchedConn, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.client, l.conn, l.dialFailedAt
+}
+
 // drop closes client, so that the next call opens a new connection.
 func (l *link) drop(client *rpc.Client) {
 	if client == nil {
@@ -257,10 +294,7 @@
 func (m *Messenger) restore(p *pending) {
 	p.link.mu.Lock()
 	defer p.link.mu.Unlock()
-	m.mu.Lock()
-	closed := m.closed
-	m.mu.Unlock()
-	if closed || p.link.client != nil {
+	if m.isClosed() || p.link.client != nil {
 		_ = p.client.Close()
 		return
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -89,6 +89,32 @@
 	c.Assert(reply, qt.Equals, "again")
 }
 
+// Guards against a call that outlives its deadline because another call is opening the connection, to a host that does not answer.
+func TestCallEndsAtItsDeadlineWhileAnotherOneDials(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	dialling := make(chan struct{}, 1)
+	m := &Messenger{
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dialling <- struct{}{}
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		},
+	}
+	defer func() { _ = m.Close() }()
+	done := make(chan error, 1)
+	go func() { done <- m.Call(context.Background(), addr, "Echo.Echo", "first", new(string)) }()
+	<-dialling
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	c.Check(m.Call(ctx, addr, "Echo.Echo", "second", new(string)), qt.ErrorIs, ErrUnreachable)
+	c.Check(time.Since(began) < dialTimeout/2, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+	c.Check(<-done, qt.IsNotNil)
+}
+
 // Guards against a call that is given up although its answer is on its way, and against other calls that wait behind it.
 func TestStalledCallGoesOn(t *testing.T) {
 	c := qt.New(t)
