Go on pulling while the control host of the own data centre is off

Callers saw: nothing yet; operators waited. While a control host was off, the entry hosts of its data centre heard of each change up to 0.55 s later, and were behind at all control hosts, so that acknowledgements waited for them. Cause: a host that pulls from another data centre looked for a nearer source after each pull, and called it in place of the next pull. A source that had failed was avoided for 3 s only if it was in use when it failed, so from 3 s after the loss on the host called the dead one about every 0.9 s, and pulled once from each of the others in turn. It has been so since before; the wait for hosts made it cost time. Change: a nearer source is asked in the background for its contact with the leader, and becomes the source when it has answered; every source that fails is avoided for 3 s, several at a time. Measured: puller.TestPullsGoOnWhileTheNearSourceIsOff failed before (no state for 0.55 s) and passes, with the race detector too.

--- a/puller/late.go
+++ b/puller/late.go
@@ -52,9 +52,7 @@
 	counters.Add("lateAnswers", 1)
 	p.mu.Lock()
 	delete(p.late, s.Addr)
-	if p.avoided == s.Addr {
-		p.avoided = netip.AddrPort{}
-	}
+	delete(p.avoidedUntil, s.Addr)
 	p.mu.Unlock()
 	p.sourceAnswered(s)
 	select {
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -92,17 +92,18 @@
 	// confirmed is what Confirmed returns.
 	confirmed bool
 
-	// source is the address of the source in use. avoided is the source that failed last while in use; it is not preferred
-	// until avoidedUntil.
+	// source is the address of the source in use. avoidedUntil tells until when sources that failed are not preferred.
 	source       netip.AddrPort
-	avoided      netip.AddrPort
-	avoidedUntil time.Time
+	avoidedUntil map[netip.AddrPort]time.Time
 	// late holds the functions that cancel the late calls.
 	late map[netip.AddrPort]context.CancelFunc
 
 	// lateAnswer receives a value when a late call was answered. calls are the calls in progress.
 	lateAnswer chan struct{}
 	calls      sync.WaitGroup
+	// probed receives the result of the probe in progress. Only the pulling goroutine uses probing, which is true until it has read that.
+	probed  chan bool
+	probing bool
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -146,6 +147,7 @@
 		done:      make(chan struct{}),
 
 		lateAnswer: make(chan struct{}, 1),
+		probed:     make(chan bool, 1),
 	}
 	for _, o := range options {
 		o(&p)
@@ -267,7 +269,7 @@
 	}
 }
 
-// follow pulls from s until that fails, a nearer source is known, or another source answers a call that was late.
+// follow pulls from s until that fails, a nearer source answers, or another source answers a call that was late.
 func (p *Puller) follow(s Source) error {
 	for p.ctx.Err() == nil {
 		started, before := timekeeper.Now(), p.State().Index
@@ -279,7 +281,7 @@
 			return err
 		}
 		p.sourceAnswered(s)
-		if p.hasNearer(s) {
+		if p.nearerAnswers(s) {
 			return nil
 		}
 		if p.State().Index > before {
@@ -346,7 +348,7 @@
 	if contactAt := started.Add(reply.Waited - reply.ContactAge); reply.Leader != "" && contactAt.After(p.contactAt) {
 		p.leader, p.contactAt = reply.Leader, contactAt
 	}
-	if reply.Leader == "" || reply.ContactAge > maxSourceAge || reply.Lag > maxSourceAge || reply.Index < old.Index {
+	if !inContact(&reply) || reply.Index < old.Index {
 		return errors.Errorf("source %s has no contact with the leader, or is behind: contact %s ago, lag %s, index %d", s.Name,
 			reply.ContactAge.Round(time.Millisecond), reply.Lag.Round(time.Millisecond), reply.Index)
 	}
--- a/puller/source.go
+++ b/puller/source.go
@@ -11,15 +11,15 @@
 	"bramleyline.example/bramleyline/timekeeper"
 )
 
-// sourceFailed logs that the source in use failed and avoids it for avoidDuration. It does nothing for another source.
+// sourceFailed avoids a source that failed for avoidDuration, and logs that if it is the source in use.
 func (p *Puller) sourceFailed(s Source, err error) {
 	p.mu.Lock()
 	p.failed++
 	inUse := p.source == s.Addr
 	if inUse {
 		p.source = netip.AddrPort{}
-		p.avoided, p.avoidedUntil = s.Addr, timekeeper.Now().Add(avoidDuration)
 	}
+	p.avoid(s)
 	p.mu.Unlock()
 	if inUse && p.log != nil {
 		p.log.Warn("lost the source of state", "source", s.Addr, "index", p.State().Index, "answeredBefore",
@@ -44,23 +44,17 @@
 	}
 }
 
-// hasNearer reports whether there are sources in the preferred data centre and s is not one of them.
-func (p *Puller) hasNearer(s Source) bool {
-	near := p.nearSources()
-	return len(near) > 0 && !slices.ContainsFunc(near, func(n Source) bool { return n.Addr == s.Addr })
-}
-
 // nearSources returns the control hosts in the preferred data centre in the order of rank, without one that failed
 // lately.
 func (p *Puller) nearSources() []Source {
 	st := p.State()
 	p.mu.Lock()
-	avoided, avoidedUntil := p.avoided, p.avoidedUntil
+	avoidedUntil := maps.Clone(p.avoidedUntil)
 	p.mu.Unlock()
 	var sources []Source
 	for _, name := range st.Members() {
 		h := st.Hosts[name]
-		failed := h.RPC == avoided && timekeeper.Now().Before(avoidedUntil)
+		failed := timekeeper.Now().Before(avoidedUntil[h.RPC])
 		if p.dataCentre != "" && h.DataCentre == p.dataCentre && h.RPC.IsValid() && !failed {
 			sources = append(sources, Source{
 				Name: name,
