Take leave of the former source of state, and of the last one when stopping

Operators saw: orders that waited up to their limit for entry hosts that had stopped, or that pulled from another control host by now. Cause: a control host counts a reader for 3 s after its last pull. A host that stops was to take leave, but closing cancels the call in progress, which marks the source as failed, so no source was left to tell. A host that changes its source told the former one nothing. Change: the source that answered last is told, when the host stops and when another one answers.

--- a/controller/service.go
+++ b/controller/service.go
@@ -40,7 +40,7 @@
 	// leave both empty: acknowledgements do not wait for them.
 	Reader  string
 	InForce uint64
-	// Leaving says that the caller serves no more. The answer is empty.
+	// Leaving says that the caller serves no more, or pulls from another host. The answer is empty.
 	Leaving bool
 }
 
--- a/puller/puller.go
+++ b/puller/puller.go
@@ -93,7 +93,9 @@
 	confirmed bool
 
 	// source is the address of the source in use. avoidedUntil tells until when sources that failed are not preferred.
+	// answered is the source that answered last, in use or not.
 	source       netip.AddrPort
+	answered     netip.AddrPort
 	avoidedUntil map[netip.AddrPort]time.Time
 	// late holds the functions that cancel the late calls.
 	late map[netip.AddrPort]context.CancelFunc
@@ -239,16 +241,13 @@
 	p.cancel()
 	p.startOnce.Do(func() { close(p.done) })
 	<-p.done
-	if source := p.Source(); p.inForce != nil && source.IsValid() {
-		ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-		defer cancel()
-		// Without an answer, the source forgets this host after a while.
-		_ = p.messenger.Call(ctx, source, "State.Pull", &controller.PullArgs{
-			Since:   p.State().Index,
-			Reader:  p.name,
-			Leaving: true,
-		}, &controller.PullReply{})
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	p.mu.Lock()
+	// The call that was in progress has failed, so no source is in use any more.
+	source := p.answered
+	p.mu.Unlock()
+	p.leave(ctx, source)
 	return nil
 }
 
--- a/puller/source.go
+++ b/puller/source.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"bramleyline.example/bramleyline/controller"
 	"bramleyline.example/bramleyline/timekeeper"
 )
 
@@ -27,7 +29,7 @@
 	}
 }
 
-// sourceAnswered makes s the source in use and logs a change.
+// sourceAnswered makes s the source in use, takes leave of the one before, and logs a change.
 func (p *Puller) sourceAnswered(s Source) {
 	p.mu.Lock()
 	now := timekeeper.Now()
@@ -38,12 +40,34 @@
 	p.answeredAt = now
 	old, failed := p.source, p.failed
 	p.source, p.failed = s.Addr, 0
+	former := p.answered
+	p.answered = s.Addr
 	p.mu.Unlock()
+	if former != s.Addr {
+		p.calls.Go(func() {
+			ctx, cancel := context.WithTimeout(p.ctx, stallTimeout)
+			defer cancel()
+			p.leave(ctx, former)
+		})
+	}
 	if old != s.Addr && p.log != nil {
 		p.log.Info("state comes from", "source", s.Addr, "index", p.State().Index, "silence", silence.Milliseconds(), "failedCalls", failed)
 	}
 }
 
+// leave tells a source that this host does not confirm any more at it what is in force. Without the call, the source forgets this host
+// after a while, and acknowledgements wait for it until then.
+func (p *Puller) leave(ctx context.Context, source netip.AddrPort) {
+	if p.inForce == nil || !source.IsValid() {
+		return
+	}
+	_ = p.messenger.Call(ctx, source, "State.Pull", &controller.PullArgs{
+		Since:   p.State().Index,
+		Reader:  p.name,
+		Leaving: true,
+	}, &controller.PullReply{})
+}
+
 // nearSources returns the control hosts in the preferred data centre in the order of rank, without one that failed
 // lately.
 func (p *Puller) nearSources() []Source {
