--- a/awaiter/awaiter.go
+++ b/awaiter/awaiter.go
@@ -66,7 +66,12 @@
 	defer cancel()
 	var l laggards
 	for waitCtx.Err() == nil {
-		if l = a.round(waitCtx, index, l.readers); l.none() {
+		next := a.round(waitCtx, index, l.readers)
+		if waitCtx.Err() != nil && !l.none() {
+			// The round was cut off and tells less than the one before.
+			break
+		}
+		if l = next; l.none() {
 			if timekeeper.Since(began) >= roundTime {
 				counters.Add("delayed", 1)
 				a.logWait(endInForce, index, began, applied, l)
