Do not close connections of a congested link by leave and probe calls

A host behind a full link lost its connection to a control host 0.1 s after a late answer had come over it, and got no new one for 5 s. Cause, suspected: a call without an answer by its deadline closes its connection. The calls by which a host takes leave of its former source or asks a nearer one had 0.5 and 0.6 s for that, over links on which answers take longer. Change: they may take as long as a pull, 20 s. Nothing waits for them. Measured: puller tests pass with the race detector.

--- a/puller/probe.go
+++ b/puller/probe.go
@@ -31,9 +31,10 @@
 	return false
 }
 
-// probe asks s for its contact with the leader, and avoids it for a while if it has none.
+// probe asks s for its contact with the leader, and avoids it for a while if it has none. It waits for long: a call that times out closes
+// its connection, and on a congested link a new one is hard to get.
 func (p *Puller) probe(s Source) bool {
-	ctx, cancel := context.WithTimeout(p.ctx, p.wait+stallTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 	defer cancel()
 	var reply controller.PullReply
 	// No state is newer than this one, so the answer is empty.
--- a/puller/source.go
+++ b/puller/source.go
@@ -45,7 +45,8 @@
 	p.mu.Unlock()
 	if former != s.Addr {
 		p.calls.Go(func() {
-			ctx, cancel := context.WithTimeout(p.ctx, stallTimeout)
+			// A call that times out closes its connection, and on a congested link a new one is hard to get.
+			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 			defer cancel()
 			p.leave(ctx, former)
 		})
