--- a/puller/probe_test.go
+++ b/puller/probe_test.go
@@ -51,10 +51,6 @@
 	}
 	c.Check(silence < stallTimeout/2, qt.IsTrue, qt.Commentf("no state for %s", silence))
 
-	addr := ln.Addr().String()
-	c.Assert(ln.Close(), qt.IsNil)
-	ln, err = net.Listen("tcp", addr)
-	c.Assert(err, qt.IsNil)
 	near.set(4, "leader", 0)
 	l := &messenger.Listener{}
 	c.Assert(l.Register("State", near), qt.IsNil)
