Count the wait of a repeated takeout from the first order

Operators saw: a takeout that waits anew with each repetition. With a silent host each try took the whole limit, and those that a slow control host answered late were lost. Cause: an order to take a data centre out has no number, so each repetition is a new command, and the wait began at its commit. Change: control hosts keep, outside the replicated state, by which log index a data centre was out, and wait for that one. Orders carry their time, which the state has kept before, so that a restoration in between is noticed. Nothing changes in how commands are applied. Measured: controller.TestIndexOfATakeoutIsThatOfTheFirstOrder (of this commit) and the tests of committer pass.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -49,6 +49,8 @@
 	State() *applier.State
 	// Changed returns a channel that is closed when there is a newer state.
 	Changed() <-chan struct{}
+	// TakeoutIndex returns a log index by which a data centre was out of service, zero if it is in service.
+	TakeoutIndex(dataCentre string) uint64
 	// Lag returns the staleness of State: the time since it last was known to have everything that was committed.
 	Lag() time.Duration
 }
@@ -200,6 +202,8 @@
 		SetService: &applier.SetServiceMsg{
 			DataCentre: dataCentre,
 			Out:        out,
+			// The time tells a takeout that follows a restoration from one that is repeated.
+			At: time.Now(),
 		},
 	})
 	if err == nil && r.Rejection != "" {
@@ -211,8 +215,8 @@
 	if out {
 		c.awaitInForce(ctx, began, func(st *applier.State) bool {
 			return st.Index > before && st.DataCentres[dataCentre].Out
-		}, func(st *applier.State) uint64 {
-			return st.Index
+		}, func(*applier.State) uint64 {
+			return c.State.TakeoutIndex(dataCentre)
 		})
 	}
 	return nil
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -32,6 +32,14 @@
 	return f.state
 }
 
+// TakeoutIndex returns the index of the state: each takeout is the newest command.
+func (f *fakeState) TakeoutIndex(dataCentre string) uint64 {
+	if st := f.State(); st.DataCentres[dataCentre].Out {
+		return st.Index
+	}
+	return 0
+}
+
 func (f *fakeState) Lag() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/controller/feed.go
+++ b/controller/feed.go
@@ -38,6 +38,9 @@
 	baseAt     time.Time
 	commands   []appliedCommand
 	totalBytes int
+	// takeouts maps each data centre that is out of service to a log index by which it was. An order that is repeated is a new command,
+	// and changes nothing here.
+	takeouts map[string]uint64
 	// notify is closed and replaced when a state is published.
 	notify chan struct{}
 	// cached is the compressed snapshot last made for a host that was far behind, at log index cachedIndex. Other hosts
@@ -51,6 +54,7 @@
 func newFeed(state *applier.State) *feed {
 	return &feed{
 		state:     state,
+		takeouts:  updateTakeouts(nil, &applier.State{}, state),
 		baseIndex: state.Index,
 		baseAt:    timekeeper.Now(),
 		notify:    make(chan struct{}),
@@ -73,6 +77,7 @@
 func (f *feed) publish(state *applier.State, commands []appliedCommand) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.takeouts = updateTakeouts(f.takeouts, f.state, state)
 	f.state = state
 	for _, c := range commands {
 		f.commands = append(f.commands, c)
@@ -92,6 +97,34 @@
 	f.notify = make(chan struct{})
 }
 
+// updateTakeouts returns the takeouts at next, a state that follows old.
+func updateTakeouts(takeouts map[string]uint64, old, next *applier.State) map[string]uint64 {
+	var updated map[string]uint64
+	for name, dc := range next.DataCentres {
+		if !dc.Out {
+			continue
+		}
+		before := old.DataCentres[name]
+		index, ok := takeouts[name]
+		// Between two states, a data centre may have been restored and taken out again.
+		if !ok || !before.Out || !before.Changed.At.Equal(dc.Changed.At) {
+			index = next.Index
+		}
+		if updated == nil {
+			updated = make(map[string]uint64)
+		}
+		updated[name] = index
+	}
+	return updated
+}
+
+// takeoutIndex returns a log index by which a data centre was out of service, zero if it is in service.
+func (f *feed) takeoutIndex(dataCentre string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.takeouts[dataCentre]
+}
+
 // reset sets a state to which the commands of the feed do not lead, and drops them.
 func (f *feed) reset(state *applier.State) {
 	f.mu.Lock()
--- a/controller/feed_test.go
+++ b/controller/feed_test.go
@@ -120,3 +120,43 @@
 	})
 	c.Check(f.appliedAt(7).Before(before), qt.IsFalse, qt.Commentf("a command in a later snapshot"))
 }
+
+// Guards against an acknowledgement that waits anew each time an order to take a data centre out is repeated, and against one that
+// does not wait after the data centre was in service meanwhile.
+func TestIndexOfATakeoutIsThatOfTheFirstOrder(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(100, 0)
+	f := newFeed(&applier.State{})
+	apply := func(out ...bool) {
+		batch := applier.NewBatch(f.current())
+		for _, out := range out {
+			at = at.Add(time.Second)
+			batch.Apply(batch.State().Index+1, applier.Command{
+				SetService: &applier.SetServiceMsg{
+					DataCentre: "a",
+					Out:        out,
+					At:         at,
+				},
+			})
+		}
+		f.publish(batch.State(), nil)
+	}
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(0))
+	apply(true)
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(1))
+	apply(true)
+	apply(true, true)
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(1), qt.Commentf("repeated orders"))
+	apply(false, true)
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(6), qt.Commentf("a restoration in between"))
+	apply(false)
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(0))
+	apply(true)
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(8))
+	f.reset(&applier.State{
+		Index:       20,
+		DataCentres: f.current().DataCentres,
+	})
+	c.Check(f.takeoutIndex("a"), qt.Equals, uint64(8), qt.Commentf("a snapshot with the same takeout"))
+	c.Check(newFeed(f.current()).takeoutIndex("a"), qt.Equals, uint64(20), qt.Commentf("a start from a snapshot"))
+}
--- a/controller/readers.go
+++ b/controller/readers.go
@@ -50,6 +50,11 @@
 	return names
 }
 
+// TakeoutIndex returns a log index by which a data centre was out of service, zero if it is in service.
+func (c *Controller) TakeoutIndex(dataCentre string) uint64 {
+	return c.feed.takeoutIndex(dataCentre)
+}
+
 // AppliedAt returns a time by which this host had applied the command at a log index, or the present time if it has not.
 func (c *Controller) AppliedAt(index uint64) time.Time {
 	return c.feed.appliedAt(index)
