Propose first to the leader from which this host hears

Operators saw: orders without an answer in a second after a change of leader, while the former leader is off. Change: the leader from which a host has heard within the last second, directly or through its source of state, comes first.

--- a/director/director.go
+++ b/director/director.go
@@ -44,6 +44,8 @@
 	// maxRegisterStaleness is the greatest age at which a control host's state still shows reliably whether the host is
 	// registered. It is several election timeouts, so that a short time without a leader does not count as stale.
 	maxRegisterStaleness = 2 * time.Second
+	// maxLeaderAge is the age of the contact with a leader up to which commands are proposed to it first.
+	maxLeaderAge = 2 * electionTimeout
 	// closeTime is the part of the grace time that is reserved for closing the components of the host.
 	closeTime = 300 * time.Millisecond
 	// logCloseTime bounds the writing of the last log lines.
@@ -166,6 +168,7 @@
 	d.proposer = &proposer.Proposer{
 		Messenger: d.messenger,
 		Hosts:     d.controlHosts,
+		Leader:    d.heardLeader,
 	}
 	ln, err := net.Listen("tcp", s.Listen.RPC.String())
 	if err != nil {
@@ -266,6 +269,18 @@
 	return hosts
 }
 
+// heardLeader returns the name of the control leader if this host has heard of it lately, directly or from its source of state.
+func (d *Director) heardLeader() string {
+	if d.source == nil {
+		return ""
+	}
+	leader, age := d.source.Contact()
+	if age > maxLeaderAge {
+		return ""
+	}
+	return leader
+}
+
 // seedSources returns the seeds as sources of state. Until the state contains the host, its name is derived from its
 // address.
 func (d *Director) seedSources() []puller.Source {
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -40,6 +40,8 @@
 	Messenger *messenger.Messenger
 	// Hosts returns the rpc addresses of the control hosts by name; it is called for each attempt.
 	Hosts func() map[string]netip.AddrPort
+	// Leader returns the name of the leader from which this host hears, empty if it hears from none. It may be nil.
+	Leader func() string
 
 	mu sync.Mutex
 	// leader is the name of the last known leader, empty if none is known.
@@ -87,14 +89,20 @@
 	return applier.Result{}, errors.Wrap(ErrNotApplied, lastErr.Error())
 }
 
-// nextHost returns a host that was not tried yet, the leader first if one is known by now.
+// nextHost returns a host that was not tried yet: the leader from which this host hears, or else the last one that was found, if there is
+// one.
 func (p *Proposer) nextHost(tried map[string]bool) (string, bool) {
 	p.mu.Lock()
-	leader := p.leader
+	candidates := []string{p.leader}
 	p.mu.Unlock()
+	if p.Leader != nil {
+		candidates = append([]string{p.Leader()}, candidates...)
+	}
 	hosts := p.Hosts()
-	if _, ok := hosts[leader]; ok && !tried[leader] {
-		return leader, true
+	for _, leader := range candidates {
+		if _, ok := hosts[leader]; ok && !tried[leader] {
+			return leader, true
+		}
 	}
 	for name := range hosts {
 		if !tried[name] {
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -138,3 +138,36 @@
 	c.Assert(errors.Is(err, ErrNotApplied), qt.IsTrue)
 	c.Assert(h.calls.Load() <= 10, qt.IsTrue, qt.Commentf("%d calls in a second", h.calls.Load()))
 }
+
+// Guards against orders that are not committed in time after a change of leader, because the former leader, which is off, is tried first,
+// or another host that is off.
+func TestLeaderThatIsHeardComesFirst(t *testing.T) {
+	c := qt.New(t)
+	b, err := applier.EncodeResult(applier.Result{})
+	c.Assert(err, qt.IsNil)
+	p := startHosts(c, map[string]*host{
+		"new": {
+			answer: controller.ProposeReply{
+				Result: b,
+			},
+		},
+	})
+	hosts := p.Hosts()
+	for i := range 4 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = ln.Close() })
+		hosts[fmt.Sprint("off", i)] = ln.Addr().(*net.TCPAddr).AddrPort()
+	}
+	heard := "new"
+	p.Leader = func() string { return heard }
+	p.updateLeader("", "off0")
+	began := time.Now()
+	_, err = propose(p, 20*time.Second)
+	c.Check(err, qt.IsNil)
+	c.Check(time.Since(began) < attemptTimeout, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+
+	heard = "off1"
+	_, err = propose(p, 20*time.Second)
+	c.Check(err, qt.IsNil, qt.Commentf("the leader from which this host heard is off"))
+}
