Test that the connection of a late answer is used again while another call dials

Cause: before calls stopped to hold the lock of a link while they dial, a late answer gave its connection back only after the dial had ended, and the next call met the failed dial first.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -144,3 +144,50 @@
 	c.Assert(m.Call(context.Background(), addr, "Echo.Echo", "after", &reply), qt.IsNil)
 	c.Assert(reply, qt.Equals, "after")
 }
+
+// Guards against a connection that is lost after a late answer has come over it, because another call is dialling meanwhile: on a congested
+// link a new connection is hard to get.
+func TestConnectionOfALateAnswerIsUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	e := &echo{
+		release: make(chan struct{}),
+	}
+	l := &Listener{}
+	c.Assert(l.Register("Echo", e), qt.IsNil)
+	l.Start(ln)
+	defer func() { _ = l.Close() }()
+	addr := ln.Addr().(*net.TCPAddr).AddrPort()
+	dials := make(chan struct{}, 10)
+	first := true
+	m := &Messenger{
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dials <- struct{}{}
+			if first {
+				first = false
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			}
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	}
+	defer func() { _ = m.Close() }()
+	stalled, late := make(chan struct{}), make(chan error, 1)
+	go func() {
+		late <- m.CallLarge(context.Background(), addr, 50*time.Millisecond, func() { close(stalled) }, "Echo.Hang", "", new(string))
+	}()
+	<-dials
+	<-stalled
+	other := make(chan error, 1)
+	go func() { other <- m.Call(context.Background(), addr, "Echo.Echo", "other", new(string)) }()
+	<-dials
+	close(e.release)
+	c.Assert(<-late, qt.IsNil)
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	c.Check(m.Call(context.Background(), addr, "Echo.Echo", "after", new(string)), qt.IsNil)
+	c.Check(time.Since(began) < dialTimeout/2, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+	c.Check(<-other, qt.IsNotNil)
+	c.Check(m.Call(context.Background(), addr, "Echo.Echo", "later", new(string)), qt.IsNil)
+}
