Restart hosts of tests on addresses that belong to the test

Change: they use allocator. Measured: go test ./controller ./server and the tests of calls in ./platform pass.

--- a/controller/group_test.go
+++ b/controller/group_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"bramleyline.example/bramleyline/allocator"
 	"bramleyline.example/bramleyline/applier"
 	"bramleyline.example/bramleyline/asserter"
 	"bramleyline.example/bramleyline/configurer"
@@ -56,7 +57,7 @@
 	listeners := make(map[string]net.Listener)
 	for i := range n {
 		name := fmt.Sprintf("host%d", i+1)
-		ln := listen(c, "127.0.0.1:0")
+		ln := listen(c, unsharedAddr(c))
 		listeners[name] = ln
 		g.addrs[name] = ln.Addr().(*net.TCPAddr).AddrPort()
 		g.folders[name] = c.TempDir()
@@ -73,6 +74,15 @@
 	return g
 }
 
+// unsharedAddr returns an address that belongs to the test, so that a host can start on it again.
+func unsharedAddr(c *qt.C) string {
+	var a allocator.Allocator
+	c.Cleanup(func() { c.Check(a.Close(), qt.IsNil) })
+	p, err := a.Prefix()
+	c.Assert(err, qt.IsNil)
+	return netip.AddrPortFrom(p.Addr().Next(), allocator.FirstPort).String()
+}
+
 func listen(c *qt.C, addr string) net.Listener {
 	ln, err := net.Listen("tcp", addr)
 	c.Assert(err, qt.IsNil)
@@ -307,7 +317,7 @@
 	g.stop(lost)
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	ln := listen(c, "127.0.0.1:0")
+	ln := listen(c, unsharedAddr(c))
 	addr := ln.Addr().(*net.TCPAddr).AddrPort()
 	g.folders["host4"] = c.TempDir()
 	g.start("host4", ln)
@@ -332,7 +342,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	join := func(leader *controller.Controller, name string) {
-		ln := listen(c, "127.0.0.1:0")
+		ln := listen(c, unsharedAddr(c))
 		g.folders[name] = c.TempDir()
 		g.start(name, ln)
 		c.Assert(leader.AddLearner(ctx, name, ln.Addr().(*net.TCPAddr).AddrPort()), qt.IsNil)
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bramleyline.example/bramleyline/allocator"
 	"bramleyline.example/bramleyline/settingsreader"
 )
 
@@ -15,10 +16,14 @@
 // program that opens several hosts stops all of them when one cannot start.
 func TestStopBeforeStart(t *testing.T) {
 	c := qt.New(t)
+	var addrs allocator.Allocator
+	defer func() { c.Check(addrs.Close(), qt.IsNil) }()
+	unshared, err := addrs.Prefix()
+	c.Assert(err, qt.IsNil)
 	s, err := New(settingsreader.Settings{
 		Name: "north-1",
 		Listen: settingsreader.Listen{
-			RPC: netip.MustParseAddrPort("127.0.0.1:0"),
+			RPC: netip.AddrPortFrom(unshared.Addr().Next(), 0),
 		},
 	})
 	c.Assert(err, qt.IsNil)
